--- /dev/null
+++ b/cmd/medlarsill-gateway/process.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/medlarsill/medlarsill/pkg/actors"
+	"github.com/medlarsill/medlarsill/pkg/allowance"
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/gateway"
+	"github.com/medlarsill/medlarsill/pkg/httpserver"
+	"github.com/medlarsill/medlarsill/pkg/ingress"
+	"github.com/medlarsill/medlarsill/pkg/logging"
+	"github.com/medlarsill/medlarsill/pkg/objectstore"
+	"github.com/medlarsill/medlarsill/pkg/retry"
+	"github.com/medlarsill/medlarsill/pkg/routing"
+	"github.com/medlarsill/medlarsill/pkg/schedule"
+	"github.com/medlarsill/medlarsill/pkg/settings"
+	"github.com/medlarsill/medlarsill/pkg/sleep"
+	"github.com/medlarsill/medlarsill/pkg/upstream"
+	"github.com/medlarsill/medlarsill/platform"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to the platform.
+	dialTimeout = 400 * time.Millisecond
+	// storeConns is the number of kept connections to the platform's store.
+	storeConns = 4
+	// storeIdle is how long one is kept.
+	storeIdle = 10 * time.Second
+	// memoryShare is the share of the instance's memory that the heap may grow to.
+	memoryShare = 0.6
+	// poolSweep is the time between two looks at the idle connections to endpoints.
+	poolSweep = 2 * time.Second
+	// allowanceShare is the part of the allowed excess over a limit that is used.
+	allowanceShare = 0.5
+)
+
+// process holds the components of one gateway process.
+type process struct {
+	cfg       settings.Gateway
+	log       *slog.Logger
+	registry  *prometheus.Registry
+	store     objectstore.Store
+	config    *routing.Follower
+	table     *endpoints.Table
+	follower  *endpoints.Follower
+	scheduler *schedule.Scheduler
+	book      *allowance.Book
+	pool      *upstream.Pool
+	gateway   *gateway.Gateway
+	ingress   *ingress.Server
+	stopping  atomic.Bool
+}
+
+func newProcess(cfg settings.Gateway, log *slog.Logger) *process {
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	p := &process{cfg: cfg, log: log, registry: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now)}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: storeConns, IdleConnTimeout: storeIdle,
+	}}
+	p.store = platform.NewStore(cfg.ObjectAPI, client)
+	p.config = &routing.Follower{Store: p.store, Prefix: platform.ConfigPrefix, Newest: platform.IsConfig, Decode: platform.DecodeConfig, Log: log, Now: time.Now}
+	p.table = endpoints.NewTable(func() { p.scheduler.Changed() })
+	p.follower = &endpoints.Follower{Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Log: log, Now: time.Now}
+	p.scheduler = schedule.New(p.table, places, time.Now)
+	p.book = allowance.New(allowance.Options{Over: allowanceShare * cfg.AllowanceOver, Now: time.Now, Silence: p.silence, Members: p.members})
+	p.gateway = gateway.New(gateway.Options{
+		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.book,
+		Retries: retry.NewShared(cfg.RetryShare, cfg.RetryExtra, p.members, time.Now), Usage: p,
+		Pool: p.pool, Metrics: gateway.NewMetrics(p.registry), Log: log, Now: time.Now, Random: rand.Float64,
+	})
+	p.ingress = ingress.New(cfg.Listen, p.gateway, p.limits, time.Now)
+	return p
+}
+
+// places is the number of requests that an endpoint runs at once.
+func places(e *endpoints.Endpoint) int { return e.Info().Slots }
+
+func (p *process) members() int { return 6 }
+
+func (p *process) silence() time.Duration { return time.Second }
+
+// Began implements gateway.Usage.
+func (p *process) Began(string) {}
+
+// limits returns the callers' limits in force.
+func (p *process) limits() ingress.Limits {
+	t := p.config.Current()
+	if t == nil {
+		return ingress.Limits{}
+	}
+	return ingress.Limits{Header: t.Limits.HeaderTimeout, Idle: t.Limits.IdleTimeout}
+}
+
+// ready tells whether new callers should come here.
+func (p *process) ready() bool {
+	if p.config.Current() == nil || p.stopping.Load() {
+		return false
+	}
+	select {
+	case <-p.follower.Synced():
+		return true
+	default:
+		return false
+	}
+}
+
+// run serves until a signal, and then stops gracefully.
+func (p *process) run(out *logging.Async) error {
+	p.follower.Synced()
+	p.log.Info("started", "id", p.cfg.ID, "data_centre", p.cfg.DataCentre)
+	ready := httpserver.New(p.cfg.ReadyListen, p.readiness())
+	metrics := httpserver.New(p.cfg.MetricsListen, httpserver.Operations(p.registry, p.ready))
+	return actors.Run(
+		out.Run,
+		p.stopOnSignal,
+		p.config.Run,
+		p.follower.Run,
+		p.ingress.Sweep,
+		p.sweepPool,
+		func(ctx context.Context) error { return p.serve(ctx) },
+		func(ctx context.Context) error { return httpserver.Run(ctx, ready, 0) },
+		func(ctx context.Context) error { return httpserver.Run(ctx, metrics, 0) },
+	)
+}
+
+func (p *process) serve(ctx context.Context) error {
+	l, err := p.ingress.Listen(ctx)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- p.ingress.Serve(l) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return p.ingress.Close()
+	}
+}
+
+func (p *process) sweepPool(ctx context.Context) error {
+	for sleep.For(ctx, poolSweep) {
+		p.pool.Sweep()
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/allowance/allowance.go
@@ -0,0 +1,234 @@
+// Package allowance keeps the requests of each workspace within its limit over
+// all instances together. Every instance runs the whole limit's token bucket:
+// what it admits itself counts at once, what its peers admit when they tell, and
+// what they are likely to admit until then is set aside. A peer that falls
+// silent is assumed to use an equal share, and so is this instance while it
+// hears nobody, so that the limit holds under partitions.
+package allowance
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/routing"
+)
+
+const (
+	// rateWeight is the weight of the newest report in a peer's rate.
+	rateWeight = 0.4
+	// minWait is the least time after which a refused caller may come back.
+	minWait = 100 * time.Millisecond
+	// forgetAfter is how long the account of a silent peer is kept apart from the
+	// equal share that is set aside for it.
+	forgetAfter = time.Minute
+)
+
+// Options sets up a book.
+type Options struct {
+	// Over is the share by which all instances together exceed a limit.
+	Over float64
+	Now  func() time.Time
+	// Silence is how long a peer may be silent before it is assumed to use an equal share.
+	Silence func() time.Duration
+	// Members is the number of instances, this one included.
+	Members func() int
+}
+
+// Book holds the accounts of all workspaces. It is safe for concurrent use.
+type Book struct {
+	Options
+	mu       sync.Mutex
+	accounts map[string]*account
+	peers    map[string]*peer
+}
+
+// peer is another instance that has told its totals.
+type peer struct {
+	boot  uint64
+	heard time.Time
+}
+
+// account is the bucket of one workspace.
+type account struct {
+	limit routing.Workspace
+	// level is what may be admitted now; below 0 it is owed.
+	level float64
+	at    time.Time
+	// own is the total that this process has admitted.
+	own float64
+	// reports holds what each peer has told.
+	reports map[string]*report
+}
+
+// report is the use of one workspace at one peer.
+type report struct {
+	// total is what the peer told last, at the time at.
+	total float64
+	at    time.Time
+	// rate is its moving use per second.
+	rate float64
+	// assumed is what has been taken off the level for the time after at.
+	assumed float64
+}
+
+// New returns an empty book.
+func New(o Options) *Book {
+	return &Book{Options: o, accounts: make(map[string]*account), peers: make(map[string]*peer)}
+}
+
+// Take counts a request of a cost against its workspace's limit, or tells when
+// to come back. A request may overdraw the account, so that large ones are
+// served as often as small ones.
+func (b *Book) Take(w *routing.Workspace, cost float64) (wait time.Duration, ok bool) {
+	if w.Rate <= 0 {
+		return 0, true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Now()
+	a := b.account(w, now)
+	b.settle(a, now)
+	if a.level <= 0 {
+		back := time.Duration((cost/2 - a.level) / (w.Rate * (1 + b.Over)) * float64(time.Second))
+		return max(minWait, back), false
+	}
+	a.level -= cost
+	a.own += cost
+	return 0, true
+}
+
+// Refund takes back the cost of a request that did not run.
+func (b *Book) Refund(w *routing.Workspace, cost float64) {
+	if w.Rate <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(w, b.Now())
+	a.level += cost
+	a.own -= cost
+}
+
+// account returns a workspace's account under its present limit. A new account
+// starts empty: what was admitted before this process started isn't known.
+func (b *Book) account(w *routing.Workspace, now time.Time) *account {
+	a, ok := b.accounts[w.Name]
+	if !ok {
+		a = &account{at: now, reports: make(map[string]*report)}
+		b.accounts[w.Name] = a
+	}
+	if a.limit.Rate != w.Rate || a.limit.Burst != w.Burst {
+		b.settle(a, now)
+		a.limit = *w
+		a.level = min(a.level, b.capacity(a))
+	}
+	return a
+}
+
+func (b *Book) capacity(a *account) float64 {
+	return max(a.limit.Burst, a.limit.Rate/4) * (1 + b.Over)
+}
+
+// settle brings an account to the present: it gains its rate and loses what
+// peers are assumed to use.
+func (b *Book) settle(a *account, now time.Time) {
+	passed := now.Sub(a.at).Seconds()
+	if passed <= 0 {
+		return
+	}
+	a.at = now
+	rate := a.limit.Rate * (1 + b.Over)
+	use := b.assume(a, rate, passed, now)
+	a.level = min(a.level+rate*passed-use, b.capacity(a))
+}
+
+// assume returns what the peers are assumed to use of an account in a time.
+func (b *Book) assume(a *account, rate, passed float64, now time.Time) float64 {
+	others := max(0, b.Members()-1)
+	share := rate / float64(others+1)
+	silence := b.Silence()
+	use, heard := 0.0, 0
+	for id, p := range b.peers {
+		if now.Sub(p.heard) > silence {
+			continue
+		}
+		heard++
+		if r, ok := a.reports[id]; ok {
+			r.assumed += r.rate * passed
+			use += r.rate * passed
+		}
+	}
+	if silent := others - heard; silent > 0 {
+		use += share * passed * float64(silent)
+	}
+	return use
+}
+
+// Totals returns what this process has admitted since its start, by workspace.
+func (b *Book) Totals() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]float64, len(b.accounts))
+	for name, a := range b.accounts {
+		if a.own != 0 {
+			out[name] = math.Round(a.own)
+		}
+	}
+	return out
+}
+
+// Heard takes the totals of one start of a peer.
+func (b *Book) Heard(id string, boot uint64, totals map[string]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Now()
+	p, known := b.peers[id]
+	fresh := !known || p.boot != boot
+	silent := known && now.Sub(p.heard) > b.Silence()
+	if fresh {
+		p = &peer{boot: boot}
+		b.peers[id] = p
+	}
+	for name, total := range totals {
+		if a, ok := b.accounts[name]; ok {
+			b.settle(a, now)
+			a.hear(id, total, now, fresh, silent)
+		}
+	}
+	p.heard = now
+	b.forget(now)
+}
+
+// hear takes a peer's total. What it used beyond the assumption comes off the
+// level; what it used less goes back.
+func (a *account) hear(id string, total float64, now time.Time, fresh, silent bool) {
+	r, ok := a.reports[id]
+	if !ok || fresh {
+		a.reports[id] = &report{total: total, at: now}
+		return
+	}
+	used := total - r.total
+	passed := now.Sub(r.at).Seconds()
+	if !silent {
+		a.level += r.assumed - used
+	}
+	if passed > 0 {
+		r.rate = max(0, r.rate+rateWeight*(used/passed-r.rate))
+	}
+	r.total, r.at, r.assumed = total, now, 0
+}
+
+// forget drops peers that have been silent for long; the equal share stays set
+// aside for them while they are members.
+func (b *Book) forget(now time.Time) {
+	for id, p := range b.peers {
+		if now.Sub(p.heard) <= forgetAfter {
+			continue
+		}
+		delete(b.peers, id)
+		for _, a := range b.accounts {
+			delete(a.reports, id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/endpoints/endpoint.go
@@ -0,0 +1,143 @@
+// Package endpoints keeps what an entry knows of the endpoints behind it: their
+// registrations in the object store, the work that is under way on each, and
+// how their last answers went. Routing reads immutable lists of endpoints; the
+// load and health of an endpoint are live.
+package endpoints
+
+import (
+	"sync"
+	"time"
+)
+
+// UnknownTime stands for a time that isn't known.
+const UnknownTime time.Duration = -1
+
+// Info is the registration of one endpoint.
+type Info struct {
+	ID         string
+	Service    string
+	Addr       string
+	DataCentre string
+	// Slots is the number of requests that it runs at once; 0 if unknown.
+	Slots int
+	// Born is the start of its process in Unix milliseconds; 0 if unknown.
+	Born int64
+	// Reclaimable endpoints may be taken away on short notice.
+	Reclaimable bool
+	// Leaving endpoints take no new work. LeavesIn is the time left, or UnknownTime.
+	Leaving  bool
+	LeavesIn time.Duration
+	// Warmup is how much longer it is slow after its start.
+	Warmup time.Duration
+}
+
+// sameProcess tells whether two registrations are of one start of one endpoint.
+func (i Info) sameProcess(o Info) bool {
+	return i.ID == o.ID && i.Born == o.Born && i.Addr == o.Addr && i.Service == o.Service
+}
+
+// Load is the work under way on an endpoint.
+type Load struct {
+	// Running is the number of requests.
+	Running int
+	// Prompt is the number of prompt tokens that are sent and not answered yet.
+	Prompt int
+}
+
+// Endpoint is one start of one endpoint. Its registration may change; its
+// identity doesn't.
+type Endpoint struct {
+	ID         string
+	Service    string
+	Addr       string
+	DataCentre string
+	born       int64
+
+	mu     sync.Mutex
+	info   Info
+	own    Load
+	peers  Load
+	health health
+	speed  speed
+	// left closes when the endpoint stops taking work.
+	left     chan struct{}
+	leftOnce sync.Once
+}
+
+func newEndpoint(i Info) *Endpoint {
+	e := &Endpoint{ID: i.ID, Service: i.Service, Addr: i.Addr, DataCentre: i.DataCentre, born: i.Born, left: make(chan struct{})}
+	e.update(i)
+	return e
+}
+
+// update takes a newer registration. Leaving is never taken back.
+func (e *Endpoint) update(i Info) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i.Leaving = i.Leaving || e.info.Leaving
+	e.info = i
+	if i.Leaving {
+		e.leftOnce.Do(func() { close(e.left) })
+	}
+}
+
+// end marks the endpoint as taking no more work.
+func (e *Endpoint) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.info.Leaving = true
+	e.leftOnce.Do(func() { close(e.left) })
+}
+
+// Info returns the newest registration.
+func (e *Endpoint) Info() Info {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.info
+}
+
+// Left closes when the endpoint stops taking new work.
+func (e *Endpoint) Left() <-chan struct{} { return e.left }
+
+// Begin counts a request with uncached prompt tokens as sent.
+func (e *Endpoint) Begin(prompt int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.own.Running++
+	e.own.Prompt += prompt
+}
+
+// Answered counts the prompt of a request as read: its answer has begun.
+func (e *Endpoint) Answered(prompt int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.own.Prompt -= prompt
+}
+
+// End counts a request as ended.
+func (e *Endpoint) End() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.own.Running--
+}
+
+// Own returns the work that this process has under way on the endpoint.
+func (e *Endpoint) Own() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.own
+}
+
+// Total returns the work of this process and of its peers.
+func (e *Endpoint) Total() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Load{Running: e.own.Running + e.peers.Running, Prompt: e.own.Prompt + e.peers.Prompt}
+}
+
+// SetPeers takes the work that the peers have under way.
+func (e *Endpoint) SetPeers(l Load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers = l
+}
--- /dev/null
+++ b/pkg/endpoints/health.go
@@ -0,0 +1,93 @@
+package endpoints
+
+import "time"
+
+// Times and weights of the passive health check.
+const (
+	// firstPause is how long an endpoint is avoided after it couldn't be reached; it doubles with each failure.
+	firstPause = 400 * time.Millisecond
+	// maxPause bounds the pause, so that an endpoint that is back is found.
+	maxPause = 3 * time.Second
+	// failureWeight is the weight of the newest outcome in the failure rate.
+	failureWeight = 0.08
+)
+
+// health is what the outcomes of requests tell of an endpoint.
+type health struct {
+	// rate is the moving share of failed requests.
+	rate float64
+	// broken counts consecutive transport failures; until is the end of the pause.
+	broken int
+	until  time.Time
+	// last is the time of the newest failure.
+	last time.Time
+}
+
+// Failed records an answer that was a failure of the endpoint.
+func (e *Endpoint) Failed(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.health.rate += failureWeight * (1 - e.health.rate)
+	e.health.last = now
+}
+
+// Broken records that the endpoint couldn't be reached or fell silent.
+func (e *Endpoint) Broken(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h := &e.health
+	h.rate += failureWeight * (1 - h.rate)
+	h.last = now
+	pause := min(maxPause, firstPause<<min(h.broken, 4))
+	h.broken++
+	h.until = now.Add(pause)
+}
+
+// Succeeded records an answer that wasn't a failure.
+func (e *Endpoint) Succeeded() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.health.rate -= failureWeight * e.health.rate
+	e.health.broken = 0
+	e.health.until = time.Time{}
+}
+
+// Paused tells whether the endpoint is avoided after transport failures.
+func (e *Endpoint) Paused(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Before(e.health.until)
+}
+
+// FailureRate returns the moving share of failed requests, from 0 to 1.
+func (e *Endpoint) FailureRate() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.health.rate
+}
+
+// speedWeight is the weight of the newest observation of the speed.
+const speedWeight = 0.1
+
+// speed is the moving ratio of observed to expected times; 0 while unknown.
+type speed struct{ ratio float64 }
+
+// Observe records how long an answer took, as a multiple of the expected time.
+func (e *Endpoint) Observe(ratio float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.speed.ratio == 0 {
+		e.speed.ratio = 1
+	}
+	e.speed.ratio += speedWeight * (min(ratio, 10) - e.speed.ratio)
+}
+
+// Slowness returns the moving ratio of observed to expected times, 1 while unknown.
+func (e *Endpoint) Slowness() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.speed.ratio == 0 {
+		return 1
+	}
+	return e.speed.ratio
+}
--- /dev/null
+++ b/pkg/gateway/filters.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/routing"
+)
+
+const (
+	// defaultTimeout bounds requests of routes without a timeout.
+	defaultTimeout = 60 * time.Second
+	// bodyTimeout bounds the reading of a body.
+	bodyTimeout = 10 * time.Second
+	// unconfiguredPause is when a caller may come back to a process without configuration.
+	unconfiguredPause = 500 * time.Millisecond
+)
+
+// findRoute finds the route of the request and its deadline.
+func (g *Gateway) findRoute(c *call) *refusal {
+	c.meta = g.Protocol.Request(c.r.Header)
+	c.lastEvent = c.meta.LastEvent
+	c.table = g.Config.Current()
+	if c.table == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration", retryAfter: unconfiguredPause}
+	}
+	route, ok := c.table.Match(c.r.Host, c.r.URL.Path)
+	if !ok {
+		return &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	if c.meta.ID == "" {
+		return &refusal{status: http.StatusBadRequest, reason: "no request id"}
+	}
+	c.route = route
+	c.priority = route.Priority
+	c.service = route.Pick(g.Random())
+	c.deadline = c.arrived.Add(timeout(route, c.meta))
+	return nil
+}
+
+// timeout is the shorter of the route's timeout and the caller's patience.
+func timeout(route *routing.Route, m Meta) time.Duration {
+	t := route.Timeout
+	if t <= 0 {
+		t = defaultTimeout
+	}
+	if m.Deadline > 0 {
+		t = min(t, m.Deadline)
+	}
+	return t
+}
+
+// findWorkspace finds the workspace that holds the caller's key.
+func (g *Gateway) findWorkspace(c *call) *refusal {
+	if !c.table.NeedsKeys() {
+		return nil
+	}
+	w, ok := c.table.Workspace(c.meta.Key)
+	if !ok || c.meta.Key == "" {
+		if c.route.Open {
+			return nil
+		}
+		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+	}
+	c.workspace = w
+	if w.Priority != nil {
+		c.priority = *w.Priority
+	}
+	return nil
+}
+
+// readBody reads the whole body within the limits.
+func (g *Gateway) readBody(c *call) *refusal {
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	limit := c.table.Limits.BodyBytes
+	if limit > 0 && c.r.ContentLength > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large", close: true}
+	}
+	rc := http.NewResponseController(c.w)
+	if err := rc.SetReadDeadline(g.Now().Add(bodyTimeout)); err != nil {
+		g.Log.Debug("no read deadline", "request", c.meta.ID, "error", err.Error())
+	}
+	body, err := readLimited(c.r, limit)
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	var slow interface{ Timeout() bool }
+	switch {
+	case err == nil:
+		c.body = body
+		return nil
+	case errors.As(err, &tooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large", close: true}
+	case errors.As(err, &slow) && slow.Timeout():
+		return &refusal{status: http.StatusRequestTimeout, reason: "body too slow", close: true}
+	}
+	return &refusal{status: http.StatusBadRequest, reason: "unreadable body", close: true}
+}
+
+// readLimited reads a body; a limit of 0 is none.
+func readLimited(r *http.Request, limit int64) ([]byte, error) {
+	body := r.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(nil, body, limit)
+	}
+	if r.ContentLength > 0 {
+		buf := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(body, buf)
+		return buf, err
+	}
+	return io.ReadAll(body)
+}
+
+// countAllowance counts the request against its workspace's allowance.
+func (g *Gateway) countAllowance(c *call) *refusal {
+	if c.workspace == nil {
+		return nil
+	}
+	wait, ok := g.Allowance.Take(c.workspace, c.cost())
+	if ok {
+		return nil
+	}
+	return &refusal{status: http.StatusTooManyRequests, reason: "allowance used up", retryAfter: wait}
+}
--- /dev/null
+++ b/pkg/ingress/server.go
@@ -0,0 +1,113 @@
+// Package ingress accepts the connections of callers. The limits on their
+// headers and on idle connections follow the configuration, also on
+// connections that are open already.
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/sleep"
+)
+
+const (
+	// sweepInterval is the time between two looks at the idle connections.
+	sweepInterval = 500 * time.Millisecond
+	// maxHeaderBytes bounds the header of any request.
+	maxHeaderBytes = 64 << 10
+	// keepAlivePeriod finds callers that vanished without a reset.
+	keepAlivePeriod = 2 * time.Second
+	// headerSlack and idleSlack are added to the configured times, so that a
+	// caller within its limits is never cut off.
+	headerSlack = 500 * time.Millisecond
+	idleSlack   = time.Second
+)
+
+// Limits are the times that callers may take.
+type Limits struct {
+	// Header bounds the time until a request's header has arrived, Idle the time
+	// that a kept connection may stay unused; 0 means no limit.
+	Header, Idle time.Duration
+}
+
+// Server serves callers.
+type Server struct {
+	http   *http.Server
+	limits func() Limits
+	now    func() time.Time
+
+	mu sync.Mutex
+	// waiting holds the connections that no request is under way on, and since when.
+	waiting map[net.Conn]waiting
+}
+
+type waiting struct {
+	since time.Time
+	// idle is true if the connection has carried a request.
+	idle bool
+}
+
+// New returns a server of a handler; limits is asked at each look at the connections.
+func New(addr string, h http.Handler, limits func() Limits, now func() time.Time) *Server {
+	s := &Server{limits: limits, now: now, waiting: make(map[net.Conn]waiting)}
+	s.http = &http.Server{Addr: addr, Handler: h, MaxHeaderBytes: maxHeaderBytes, ConnState: s.connState}
+	return s
+}
+
+// Listen opens the callers' address.
+func (s *Server) Listen(ctx context.Context) (net.Listener, error) {
+	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2}}
+	return lc.Listen(ctx, "tcp", s.http.Addr)
+}
+
+// Serve accepts connections until Close.
+func (s *Server) Serve(l net.Listener) error { return s.http.Serve(l) }
+
+// Close ends all connections at once.
+func (s *Server) Close() error { return s.http.Close() }
+
+// CloseIdle closes the listener and the connections that no request is under way on.
+func (s *Server) CloseIdle(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.waiting[c] = waiting{since: s.now()}
+	case http.StateIdle:
+		s.waiting[c] = waiting{since: s.now(), idle: true}
+	default:
+		delete(s.waiting, c)
+	}
+}
+
+// Sweep closes connections that wait for too long, until the context ends.
+func (s *Server) Sweep(ctx context.Context) error {
+	for sleep.For(ctx, sweepInterval) {
+		for _, c := range s.overdue() {
+			c.Close()
+		}
+	}
+	return nil
+}
+
+func (s *Server) overdue() []net.Conn {
+	limits, now := s.limits(), s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []net.Conn
+	for c, w := range s.waiting {
+		limit := limits.Header + headerSlack
+		if w.idle {
+			limit = limits.Idle + idleSlack
+		}
+		if limits.Header > 0 && limits.Idle > 0 && now.Sub(w.since) > limit {
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/routing/table.go
@@ -0,0 +1,89 @@
+package routing
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table is a configuration with its indexes. It is immutable.
+type Table struct {
+	Config
+	hosts      map[string][]*Route
+	services   map[string]*Service
+	workspaces map[string]*Workspace
+}
+
+// NewTable indexes a configuration.
+func NewTable(c Config) *Table {
+	t := &Table{
+		Config: c, hosts: make(map[string][]*Route),
+		services: make(map[string]*Service), workspaces: make(map[string]*Workspace),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		for _, key := range w.Keys {
+			t.workspaces[key] = w
+		}
+	}
+	return t
+}
+
+// Match returns the route of a host whose prefix is the longest that begins the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns the service with a name.
+func (t *Table) Service(name string) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Workspace returns the workspace that holds a key.
+func (t *Table) Workspace(key string) (*Workspace, bool) {
+	w, ok := t.workspaces[key]
+	return w, ok
+}
+
+// NeedsKeys tells whether requests must carry the key of a workspace.
+func (t *Table) NeedsKeys() bool { return len(t.Workspaces) > 0 }
+
+// Pick chooses the service of a request by the route's weights; random is from 0 to below 1.
+func (r *Route) Pick(random float64) string {
+	total := 0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	at := int(random * float64(total))
+	for _, w := range r.Split {
+		at -= w.Weight
+		if at < 0 {
+			return w.Service
+		}
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- /dev/null
+++ b/pkg/schedule/schedule.go
@@ -0,0 +1,214 @@
+// Package schedule decides which request goes to which endpoint, and when. A
+// request is placed at once if an endpoint of its service has a place free and
+// nobody waits; otherwise it waits in order of urgency and deadline, unless it
+// can't be placed in time.
+package schedule
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
+)
+
+// Errors of placing a request.
+var (
+	// ErrBusy means that no place will be free in time.
+	ErrBusy = eris.New("schedule: no place in time")
+	// ErrGone means that the caller left while its request waited.
+	ErrGone = eris.New("schedule: caller left")
+)
+
+// Part is one part of a prompt, which other requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Demand is what is known of a request when it is placed.
+type Demand struct {
+	Service string
+	// Priority is the rank of the request; 0 is the most urgent.
+	Priority int
+	// Arrived is when the request came, Target its latency objective.
+	Arrived time.Time
+	Target  time.Duration
+	// Deadline is when an answer is of no use any more.
+	Deadline time.Time
+	// Prompt and Output are the numbers of tokens read and written at most; 0 for plain calls.
+	Prompt, Output int
+	// Parts are the parts of the prompt in order.
+	Parts []Part
+	// Avoid holds the ids of endpoints that this request must not go to.
+	Avoid map[string]bool
+}
+
+// Placement is a place at an endpoint, held until End.
+type Placement struct {
+	Endpoint *endpoints.Endpoint
+	// Uncached is the number of prompt tokens that the endpoint is expected to read.
+	Uncached int
+	// Expected is the expected time until the answer begins.
+	Expected time.Duration
+
+	scheduler *Scheduler
+	once      sync.Once
+	answered  bool
+}
+
+// Answered records that the answer has begun.
+func (p *Placement) Answered() {
+	if p.answered {
+		return
+	}
+	p.answered = true
+	p.Endpoint.Answered(p.Uncached)
+}
+
+// End gives the place back.
+func (p *Placement) End() {
+	p.once.Do(func() {
+		p.Answered()
+		p.Endpoint.End()
+		p.scheduler.ended(p.Endpoint.Service)
+	})
+}
+
+// Endpoints lists the endpoints of a service that take new work.
+type Endpoints interface {
+	Service(name string) []*endpoints.Endpoint
+}
+
+// Scheduler places requests. It is safe for concurrent use.
+type Scheduler struct {
+	Endpoints Endpoints
+	Places    func(e *endpoints.Endpoint) int
+	Now       func() time.Time
+
+	mu     sync.Mutex
+	queues map[string]*queue
+}
+
+// New returns a scheduler. places tells how many requests an endpoint may run at once.
+func New(list Endpoints, places func(*endpoints.Endpoint) int, now func() time.Time) *Scheduler {
+	return &Scheduler{Endpoints: list, Places: places, Now: now, queues: make(map[string]*queue)}
+}
+
+func (s *Scheduler) queue(service string) *queue {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q, ok := s.queues[service]
+	if !ok {
+		q = &queue{}
+		s.queues[service] = q
+	}
+	return q
+}
+
+// Place finds a place for a request, waiting for one if it will be free in
+// time. The error is ErrBusy or ErrGone, and the request has not been sent.
+func (s *Scheduler) Place(ctx context.Context, d Demand) (*Placement, error) {
+	q := s.queue(d.Service)
+	now := s.Now()
+	q.mu.Lock()
+	if len(q.waiting) == 0 {
+		if p := s.try(d, now); p != nil {
+			q.mu.Unlock()
+			return p, nil
+		}
+	}
+	limit := d.waitLimit(now)
+	if limit <= 0 || q.estimate(d) > limit {
+		q.mu.Unlock()
+		return nil, ErrBusy
+	}
+	w := &waiter{demand: d, granted: make(chan *Placement, 1)}
+	q.add(w)
+	q.mu.Unlock()
+	return s.wait(ctx, q, w, limit)
+}
+
+func (s *Scheduler) wait(ctx context.Context, q *queue, w *waiter, limit time.Duration) (*Placement, error) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	err := ErrBusy
+	select {
+	case p := <-w.granted:
+		return p, nil
+	case <-ctx.Done():
+		err = ErrGone
+	case <-t.C:
+	}
+	q.mu.Lock()
+	q.remove(w)
+	q.mu.Unlock()
+	select {
+	case p := <-w.granted:
+		if err == ErrBusy {
+			return p, nil
+		}
+		p.End()
+	default:
+	}
+	return nil, err
+}
+
+// try takes a place for a request, or returns nil. The queue's lock is held.
+func (s *Scheduler) try(d Demand, now time.Time) *Placement {
+	c, ok := choose(s.Endpoints.Service(d.Service), d, s.Places, now)
+	if !ok {
+		return nil
+	}
+	c.endpoint.Begin(c.uncached)
+	return &Placement{Endpoint: c.endpoint, Uncached: c.uncached, Expected: c.start, scheduler: s}
+}
+
+// ended notes a finished request and places those that wait.
+func (s *Scheduler) ended(service string) {
+	q := s.queue(service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := s.Now()
+	q.note(now)
+	s.grant(q, now)
+}
+
+// Changed places the requests that wait, after a change of the endpoints.
+func (s *Scheduler) Changed() {
+	s.mu.Lock()
+	list := make([]*queue, 0, len(s.queues))
+	for _, q := range s.queues {
+		list = append(list, q)
+	}
+	s.mu.Unlock()
+	now := s.Now()
+	for _, q := range list {
+		q.mu.Lock()
+		s.grant(q, now)
+		q.mu.Unlock()
+	}
+}
+
+// grant places waiting requests in their order. The queue's lock is held.
+func (s *Scheduler) grant(q *queue, now time.Time) {
+	for len(q.waiting) > 0 {
+		w := q.waiting[0]
+		p := s.try(w.demand, now)
+		if p == nil {
+			return
+		}
+		q.waiting = q.waiting[1:]
+		w.granted <- p
+	}
+}
+
+// Waiting returns the number of requests that wait for a service.
+func (s *Scheduler) Waiting(service string) int {
+	q := s.queue(service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting)
+}
--- a/pkg/settings/command.go
+++ b/pkg/settings/command.go
@@ -92,6 +92,8 @@
 		return s.DataCentre
 	case *Admin:
 		return s.DataCentre
+	case *Gateway:
+		return s.DataCentre
 	}
 	return ""
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -25,6 +25,7 @@
 	ProgramEntry      Program = "entry"
 	ProgramController Program = "controller"
 	ProgramAdmin      Program = "admin"
+	ProgramGateway    Program = "gateway"
 )
 
 // Reference returns the documented defaults of a program: JSON with comments.
@@ -45,6 +46,8 @@
 		return ProgramController, true
 	case *Admin:
 		return ProgramAdmin, true
+	case *Gateway:
+		return ProgramGateway, true
 	}
 	return "", false
 }
