--- /dev/null
+++ b/cmd/medlarsill-gateway/duties.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/medlarsill/medlarsill/pkg/lease"
+	"github.com/medlarsill/medlarsill/pkg/scaling"
+	"github.com/medlarsill/medlarsill/pkg/usage"
+	"github.com/medlarsill/medlarsill/platform"
+)
+
+const (
+	// dutyName names the lease under which one instance carries out the duties.
+	dutyName = "duties"
+	// leaseSlack is added to the shortest time between two holders, as clocks run at different rates.
+	leaseSlack = 300 * time.Millisecond
+)
+
+// takeDuties sets up the duties that one instance at a time carries out.
+func (p *process) takeDuties(client *http.Client) {
+	p.duty = lease.New(lease.Options{
+		Config: lease.Config{
+			Self: p.usage.Source, Duration: time.Duration(p.cfg.LeaseMS)*time.Millisecond + leaseSlack,
+			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), WriteID: uuid.NewString,
+		},
+		Duty: dutyName, Store: p.store, Log: p.log, Now: time.Now,
+		Candidate: func() bool { return p.ready() },
+	})
+	calls := platform.NewCloud(p.cfg.CloudAPI, p.cfg.ID, client)
+	p.reporter = &usage.Reporter{Ledger: p.usage, Store: p.store, Lease: p.duty, Platform: calls, Log: p.log}
+	p.planner = &scaling.Planner{
+		Config: p.config, Endpoints: p.table, Load: p.meter, Lease: p.duty, Platform: calls, Log: p.log, Now: time.Now,
+	}
+}
--- /dev/null
+++ b/cmd/medlarsill-gateway/peers.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/gossip"
+	"github.com/medlarsill/medlarsill/pkg/scaling"
+	"github.com/medlarsill/medlarsill/pkg/truetime"
+	"github.com/medlarsill/medlarsill/pkg/usage"
+)
+
+// joinPeers sets up what this instance tells its peers and hears of them.
+func (p *process) joinPeers() {
+	boot := uint64(time.Now().UnixNano())
+	p.clock = truetime.New(time.Now)
+	window := time.Duration(p.cfg.UsageWindowS * float64(time.Second))
+	p.usage = usage.NewLedger(source(p.cfg.ID, boot), window, p.clock.Now)
+	p.meter = scaling.NewMeter(p.table, time.Now)
+	p.loads = endpoints.NewPeerLoads(p.table, time.Now)
+	// The settings were checked: the IP number can be read.
+	ip := netip.MustParseAddr(p.cfg.IP)
+	p.node = gossip.NewNode(gossip.Options{
+		ID: p.cfg.ID, Boot: boot, Listen: netip.AddrPortFrom(ip, uint16(p.cfg.PeerPort)),
+		Fill: p.fill, Heard: p.heard, Log: p.log, Now: time.Now,
+	})
+	p.registry = &gossip.Registry{Store: p.store, Node: p.node, Log: p.log, Now: time.Now, Remover: func() bool {
+		_, held := p.duty.Held()
+		return held
+	}}
+}
+
+// source names one start of an instance in the usage.
+func source(id string, boot uint64) string { return fmt.Sprintf("%s/%d", id, boot) }
+
+// fill adds this instance's state to a message.
+func (p *process) fill(m *gossip.Message, withUsage bool) {
+	m.WallMS = time.Now().UnixMilli()
+	if t := p.config.Current(); t != nil {
+		m.Config = t.Version
+	}
+	m.Load = make(map[string]gossip.Load)
+	for _, e := range p.table.All() {
+		if own := e.Own(); own.Running > 0 {
+			m.Load[e.ID] = gossip.Load{Running: own.Running, Prompt: own.Prompt}
+		}
+	}
+	m.Totals = p.book.Totals()
+	m.Sent = p.scheduler.Sent.Totals()
+	p.meter.Heard(p.usage.Source, m.Sent)
+	if withUsage {
+		m.Usage = p.usage.Own()
+	}
+}
+
+// heard takes a peer's state.
+func (p *process) heard(m gossip.Message) {
+	from := source(m.ID, m.Boot)
+	p.clock.Heard(m.ID, time.UnixMilli(m.WallMS))
+	p.book.Heard(m.ID, m.Boot, m.Totals)
+	p.meter.Heard(from, m.Sent)
+	if m.Usage != nil {
+		p.usage.Merge(from, m.Usage)
+	}
+	loads := make(map[string]endpoints.Load, len(m.Load))
+	for id, l := range m.Load {
+		loads[id] = endpoints.Load{Running: l.Running, Prompt: l.Prompt}
+	}
+	p.loads.Heard(m.ID, loads)
+	p.scheduler.Changed()
+}
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -16,16 +16,21 @@
 	"github.com/medlarsill/medlarsill/pkg/allowance"
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/gateway"
+	"github.com/medlarsill/medlarsill/pkg/gossip"
 	"github.com/medlarsill/medlarsill/pkg/httpserver"
 	"github.com/medlarsill/medlarsill/pkg/ingress"
+	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/logging"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/retry"
 	"github.com/medlarsill/medlarsill/pkg/routing"
+	"github.com/medlarsill/medlarsill/pkg/scaling"
 	"github.com/medlarsill/medlarsill/pkg/schedule"
 	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
+	"github.com/medlarsill/medlarsill/pkg/truetime"
 	"github.com/medlarsill/medlarsill/pkg/upstream"
+	"github.com/medlarsill/medlarsill/pkg/usage"
 	"github.com/medlarsill/medlarsill/platform"
 )
 
@@ -48,7 +53,7 @@
 type process struct {
 	cfg       settings.Gateway
 	log       *slog.Logger
-	registry  *prometheus.Registry
+	metrics   *prometheus.Registry
 	store     objectstore.Store
 	config    *routing.Follower
 	table     *endpoints.Table
@@ -58,27 +63,39 @@
 	pool      *upstream.Pool
 	gateway   *gateway.Gateway
 	ingress   *ingress.Server
+	node      *gossip.Node
+	registry  *gossip.Registry
+	clock     *truetime.Clock
+	usage     *usage.Ledger
+	loads     *endpoints.PeerLoads
+	meter     *scaling.Meter
+	duty      *lease.Lease
+	reporter  *usage.Reporter
+	planner   *scaling.Planner
 	stopping  atomic.Bool
 }
 
 func newProcess(cfg settings.Gateway, log *slog.Logger) *process {
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
-	p := &process{cfg: cfg, log: log, registry: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now)}
+	p := &process{cfg: cfg, log: log, metrics: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now)}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: storeConns, IdleConnTimeout: storeIdle,
 	}}
 	p.store = platform.NewStore(cfg.ObjectAPI, client)
-	p.config = &routing.Follower{Store: p.store, Prefix: platform.ConfigPrefix, Newest: platform.IsConfig, Decode: platform.DecodeConfig, Log: log, Now: time.Now}
+	p.config = &routing.Follower{Store: p.store, Prefix: platform.ConfigPrefix, Newest: platform.IsConfig, Decode: platform.DecodeConfig, Log: log, Now: time.Now,
+		Changed: func(t *routing.Table) { p.book.Open(t.Workspaces) }}
 	p.table = endpoints.NewTable(func() { p.scheduler.Changed() })
 	p.follower = &endpoints.Follower{Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Log: log, Now: time.Now}
 	p.scheduler = schedule.New(p.table, places, time.Now)
-	p.book = allowance.New(allowance.Options{Over: allowanceShare * cfg.AllowanceOver, Now: time.Now, Silence: p.silence, Members: p.members})
+	p.joinPeers()
+	p.book = allowance.New(allowance.Options{Over: allowanceShare * cfg.AllowanceOver, Now: time.Now, Silence: p.node.Silence, Members: p.node.Members})
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.book,
-		Retries: retry.NewShared(cfg.RetryShare, cfg.RetryExtra, p.members, time.Now), Usage: p,
-		Pool: p.pool, Metrics: gateway.NewMetrics(p.registry), Log: log, Now: time.Now, Random: rand.Float64,
+		Retries: retry.NewShared(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage,
+		Pool: p.pool, Metrics: gateway.NewMetrics(p.metrics), Log: log, Now: time.Now, Random: rand.Float64,
 	})
+	p.takeDuties(client)
 	p.ingress = ingress.New(cfg.Listen, p.gateway, p.limits, time.Now)
 	return p
 }
@@ -86,13 +103,6 @@
 // places is the number of requests that an endpoint runs at once.
 func places(e *endpoints.Endpoint) int { return e.Info().Slots }
 
-func (p *process) members() int { return 6 }
-
-func (p *process) silence() time.Duration { return time.Second }
-
-// Began implements gateway.Usage.
-func (p *process) Began(string) {}
-
 // limits returns the callers' limits in force.
 func (p *process) limits() ingress.Limits {
 	t := p.config.Current()
@@ -120,7 +130,7 @@
 	p.follower.Synced()
 	p.log.Info("started", "id", p.cfg.ID, "data_centre", p.cfg.DataCentre)
 	ready := httpserver.New(p.cfg.ReadyListen, p.readiness())
-	metrics := httpserver.New(p.cfg.MetricsListen, httpserver.Operations(p.registry, p.ready))
+	metrics := httpserver.New(p.cfg.MetricsListen, httpserver.Operations(p.metrics, p.ready))
 	return actors.Run(
 		out.Run,
 		p.stopOnSignal,
@@ -128,6 +138,11 @@
 		p.follower.Run,
 		p.ingress.Sweep,
 		p.sweepPool,
+		p.node.Run,
+		p.registry.Run,
+		p.duty.Run,
+		p.reporter.Run,
+		p.planner.Run,
 		func(ctx context.Context) error { return p.serve(ctx) },
 		func(ctx context.Context) error { return httpserver.Run(ctx, ready, 0) },
 		func(ctx context.Context) error { return httpserver.Run(ctx, metrics, 0) },
--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -98,6 +98,18 @@
 	return 0, true
 }
 
+// Open opens the accounts of a configuration's workspaces, so that they have
+// filled by the time that the first request comes.
+func (b *Book) Open(list []routing.Workspace) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range list {
+		if list[i].Rate > 0 {
+			b.account(&list[i], b.Now())
+		}
+	}
+}
+
 // Refund takes back the cost of a request that did not run.
 func (b *Book) Refund(w *routing.Workspace, cost float64) {
 	if w.Rate <= 0 {
--- /dev/null
+++ b/pkg/gossip/node.go
@@ -0,0 +1,211 @@
+package gossip
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/sleep"
+)
+
+const (
+	// Interval is the time between two messages of an instance.
+	Interval = 200 * time.Millisecond
+	// fanout is the number of peers that one message goes to; the peers take turns.
+	fanout = 8
+	// usageEvery is the number of messages of which one carries the usage.
+	usageEvery = 3
+	// lostIntervals is the number of turns without a message after which a peer is silent.
+	lostIntervals = 4
+)
+
+// Options holds what a node is made of. All fields are needed.
+type Options struct {
+	ID   string
+	Boot uint64
+	// Listen is this instance's address for datagrams.
+	Listen netip.AddrPort
+	// Fill adds this instance's state to a message; usage tells whether it carries the usage.
+	Fill func(m *Message, usage bool)
+	// Heard takes a peer's message.
+	Heard func(m Message)
+	Log   *slog.Logger
+	Now   func() time.Time
+}
+
+// Node sends and receives the messages of one instance.
+type Node struct {
+	Options
+	mu    sync.Mutex
+	peers map[string]*peer
+	// members is the number of registered instances, this one included.
+	members int
+	turn    int
+	seq     uint64
+}
+
+// peer is another instance.
+type peer struct {
+	addr  netip.AddrPort
+	boot  uint64
+	seq   uint64
+	heard time.Time
+	lost  bool
+}
+
+// NewNode returns a node that knows no peers.
+func NewNode(o Options) *Node {
+	return &Node{Options: o, peers: make(map[string]*peer), members: 1}
+}
+
+// Members is the number of instances that exist, this one included.
+func (n *Node) Members() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return max(n.members, len(n.peers)+1)
+}
+
+// Silence is how long a living peer may stay unheard.
+func (n *Node) Silence() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	turns := 1 + len(n.peers)/fanout
+	return time.Duration(lostIntervals*turns) * Interval
+}
+
+// HeardWithin tells whether a peer was heard in a time before now.
+func (n *Node) HeardWithin(id string, d time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p, ok := n.peers[id]
+	return ok && !p.heard.IsZero() && n.Now().Sub(p.heard) <= d
+}
+
+// SetMembers takes the registered instances by id. Others are forgotten.
+func (n *Node) SetMembers(list map[string]netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, addr := range list {
+		if id == n.ID {
+			continue
+		}
+		if p, ok := n.peers[id]; ok {
+			p.addr = addr
+			continue
+		}
+		n.peers[id] = &peer{addr: addr}
+	}
+	silent := time.Duration(lostIntervals) * Interval
+	for id, p := range n.peers {
+		if _, ok := list[id]; !ok && n.Now().Sub(p.heard) > silent {
+			delete(n.peers, id)
+		}
+	}
+	n.members = len(n.peers) + 1
+}
+
+// Run sends and receives until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(n.Listen))
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	go n.send(ctx, conn)
+	buf := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		size, from, err := conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			continue // datagrams that were refused are reported here; the context ends the loop
+		}
+		m, err := decode(buf[:size])
+		if err != nil {
+			n.Log.Warn("message ignored", "from", from.String(), "error", err.Error())
+			continue
+		}
+		if n.take(m, from) {
+			n.Heard(m)
+		}
+	}
+	return nil
+}
+
+// take notes the sender of a message; false if a newer one of it was heard.
+func (n *Node) take(m Message, from netip.AddrPort) bool {
+	if m.ID == n.ID {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p, ok := n.peers[m.ID]
+	if !ok {
+		p = &peer{}
+		n.peers[m.ID] = p
+	}
+	if m.Boot < p.boot || m.Boot == p.boot && m.Seq <= p.seq {
+		return false
+	}
+	if p.boot != m.Boot || p.lost {
+		n.Log.Info("peer heard", "peer", m.ID, "restarted", p.boot != 0 && p.boot != m.Boot, "config", m.Config)
+	}
+	p.addr, p.boot, p.seq, p.heard, p.lost = from, m.Boot, m.Seq, n.Now(), false
+	return true
+}
+
+func (n *Node) send(ctx context.Context, conn *net.UDPConn) {
+	for sleep.For(ctx, Interval) {
+		n.seq++
+		m := Message{ID: n.ID, Boot: n.Boot, Seq: n.seq}
+		n.Fill(&m, n.seq%usageEvery == 0)
+		data, err := encode(m)
+		if err != nil {
+			n.Log.Error("message not sent", "error", err.Error())
+			continue
+		}
+		for _, addr := range n.targets() {
+			// A datagram that can't be sent is as good as a lost one.
+			_, _ = conn.WriteToUDPAddrPort(data, addr)
+		}
+		n.noteLost()
+	}
+}
+
+// targets returns the peers whose turn it is.
+func (n *Node) targets() []netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := make([]netip.AddrPort, 0, len(n.peers))
+	for _, p := range n.peers {
+		if p.addr.IsValid() {
+			all = append(all, p.addr)
+		}
+	}
+	if len(all) <= fanout {
+		return all
+	}
+	sortAddrs(all)
+	out := make([]netip.AddrPort, 0, fanout)
+	for i := range fanout {
+		out = append(out, all[(n.turn+i)%len(all)])
+	}
+	n.turn = (n.turn + fanout) % len(all)
+	return out
+}
+
+// noteLost logs the peers that have fallen silent.
+func (n *Node) noteLost() {
+	silence := n.Silence()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, p := range n.peers {
+		if p.lost || p.heard.IsZero() || n.Now().Sub(p.heard) <= silence {
+			continue
+		}
+		p.lost = true
+		n.Log.Warn("peer silent", "peer", id, "silent_ms", n.Now().Sub(p.heard).Milliseconds())
+	}
+}
--- a/pkg/routing/follow.go
+++ b/pkg/routing/follow.go
@@ -26,6 +26,8 @@
 	Decode func(value []byte) (Config, error)
 	Log    *slog.Logger
 	Now    func() time.Time
+	// Changed is called with each configuration that comes into force.
+	Changed func(*Table)
 
 	current   atomic.Pointer[Table]
 	confirmed atomic.Pointer[time.Time]
@@ -99,7 +101,9 @@
 	if f.current.Load() != nil && c.Version <= before {
 		return false
 	}
-	f.current.Store(NewTable(c))
+	t := NewTable(c)
+	f.current.Store(t)
+	f.Changed(t)
 	f.Log.Info("configuration in force", "version", c.Version, "before", before, "source", source,
 		"routes", len(c.Routes), "services", len(c.Services), "workspaces", len(c.Workspaces))
 	return true
--- /dev/null
+++ b/pkg/scaling/run.go
@@ -0,0 +1,223 @@
+package scaling
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/cloud"
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/routing"
+	"github.com/medlarsill/medlarsill/pkg/sleep"
+)
+
+const (
+	// stepInterval is the time between two plans.
+	stepInterval = 500 * time.Millisecond
+	// callTime is the longest time of one order, for which the lease must last.
+	callTime = 800 * time.Millisecond
+	// repeatAfter is the time beyond the boot after which an order that shows no
+	// instances is given again.
+	repeatAfter = 3 * time.Second
+	// releaseAfter is how long fewer instances must be wanted before some are given up.
+	releaseAfter = 6 * time.Second
+	// riseTime and fallTime smooth the demand: it is followed fast when it grows.
+	riseTime = time.Second
+	fallTime = 12 * time.Second
+)
+
+// Lease tells whether this process holds the duty.
+type Lease interface {
+	Held() (fence uint64, ok bool)
+	Do(ctx context.Context, needs time.Duration, action func(ctx context.Context, fence uint64) error) error
+}
+
+// Platform takes orders. An error may be cloud.ErrRefused.
+type Platform interface {
+	Order(ctx context.Context, fence uint64, o Order) error
+}
+
+// Load is what a service's load needs.
+type Load interface {
+	// Engines returns the number of engines that the load of a service needs now.
+	Engines(s *routing.Service) float64
+}
+
+// Config gives the configuration in force, or nil.
+type Config interface {
+	Current() *routing.Table
+}
+
+// Planner carries out the duty of ordering capacity.
+type Planner struct {
+	Config    Config
+	Endpoints *endpoints.Table
+	Load      Load
+	Lease     Lease
+	Platform  Platform
+	Log       *slog.Logger
+	Now       func() time.Time
+
+	fence    uint64
+	services map[string]*service
+}
+
+// service is what the planner remembers of a service while it holds the duty.
+type service struct {
+	demand  float64
+	at      time.Time
+	ordered map[Place]order
+	refused map[Place]time.Time
+	// surplus holds since when a place has had more than is wanted.
+	surplus map[Place]time.Time
+}
+
+type order struct {
+	count int
+	at    time.Time
+}
+
+// Run orders capacity, while this process holds the duty, until the context ends.
+func (p *Planner) Run(ctx context.Context) error {
+	for sleep.For(ctx, stepInterval) {
+		p.step(ctx)
+	}
+	return nil
+}
+
+func (p *Planner) step(ctx context.Context) {
+	fence, held := p.Lease.Held()
+	table := p.Config.Current()
+	if !held || table == nil {
+		p.fence = 0
+		return
+	}
+	if fence != p.fence {
+		p.fence = fence
+		p.services = make(map[string]*service)
+	}
+	for i := range table.Services {
+		if s := &table.Services[i]; s.Scaling != nil {
+			p.plan(ctx, s)
+		}
+	}
+}
+
+func (p *Planner) plan(ctx context.Context, s *routing.Service) {
+	now := p.Now()
+	state, ok := p.services[s.Name]
+	if !ok {
+		state = &service{ordered: make(map[Place]order), refused: make(map[Place]time.Time), surplus: make(map[Place]time.Time)}
+		p.services[s.Name] = state
+	}
+	state.follow(p.Load.Engines(s), now)
+	present := p.present(s.Name)
+	want := Plan(Observation{Service: s.Name, Scaling: s.Scaling, Present: present, Refused: state.refused, Demand: state.demand, Now: now})
+	for _, dc := range s.Scaling.DataCentres() {
+		for _, reclaimable := range []bool{true, false} {
+			place := Place{DataCentre: dc, Reclaimable: reclaimable}
+			if count, due := state.due(place, want, present, s.Scaling.Boot, now); due {
+				p.order(ctx, state, s, Order{Service: s.Name, DataCentre: dc, Reclaimable: reclaimable, Count: count})
+			}
+		}
+	}
+}
+
+// present counts the instances of a service that take work.
+func (p *Planner) present(name string) map[Place]int {
+	out := make(map[Place]int)
+	for _, e := range p.Endpoints.Service(name) {
+		out[Place{DataCentre: e.DataCentre, Reclaimable: e.Info().Reclaimable}]++
+	}
+	return out
+}
+
+// follow smooths the demand.
+func (s *service) follow(demand float64, now time.Time) {
+	if s.at.IsZero() {
+		s.demand, s.at = demand, now
+		return
+	}
+	span := fallTime
+	if demand > s.demand {
+		span = riseTime
+	}
+	share := min(1, now.Sub(s.at).Seconds()/span.Seconds())
+	s.demand += share * (demand - s.demand)
+	s.at = now
+}
+
+// due tells whether an order for a place is to be given, and for how many.
+func (s *service) due(place Place, want, present map[Place]int, boot time.Duration, now time.Time) (int, bool) {
+	wanted, have := want[place], present[place]
+	last, known := s.ordered[place]
+	if !known {
+		last.count = have
+	}
+	switch {
+	case wanted > last.count:
+		delete(s.surplus, place)
+		return wanted, !s.recently(place, now)
+	case wanted < last.count:
+		return s.release(place, want, present, now)
+	case have < wanted && now.Sub(last.at) > boot+repeatAfter:
+		return wanted, !s.recently(place, now)
+	}
+	delete(s.surplus, place)
+	return 0, false
+}
+
+// recently tells whether the platform has just refused an order for a place.
+func (s *service) recently(place Place, now time.Time) bool {
+	at, ok := s.refused[place]
+	return ok && now.Sub(at) < time.Second
+}
+
+// release gives up a surplus that has lasted, if what stays is enough without it.
+func (s *service) release(place Place, want, present map[Place]int, now time.Time) (int, bool) {
+	since, ok := s.surplus[place]
+	if !ok {
+		s.surplus[place] = now
+		return 0, false
+	}
+	wait := releaseAfter
+	if !place.Reclaimable {
+		wait = stepInterval
+	}
+	if now.Sub(since) < wait {
+		return 0, false
+	}
+	total, have := 0, 0
+	for _, n := range want {
+		total += n
+	}
+	for at, n := range present {
+		have += n
+		if at == place {
+			have -= n - want[place]
+		}
+	}
+	if have < total {
+		return 0, false
+	}
+	delete(s.surplus, place)
+	return want[place], true
+}
+
+// order gives one order.
+func (p *Planner) order(ctx context.Context, state *service, s *routing.Service, o Order) {
+	place := Place{DataCentre: o.DataCentre, Reclaimable: o.Reclaimable}
+	err := p.Lease.Do(ctx, callTime, func(ctx context.Context, fence uint64) error {
+		return p.Platform.Order(ctx, fence, o)
+	})
+	p.Log.Info("capacity ordered", "service", o.Service, "data_centre", o.DataCentre, "reclaimable", o.Reclaimable,
+		"count", o.Count, "demand", state.demand, "fence", p.fence, "error", err)
+	switch {
+	case err == nil:
+		state.ordered[place] = order{count: o.Count, at: p.Now()}
+		delete(state.refused, place)
+	case errors.Is(err, cloud.ErrRefused):
+		state.refused[place] = p.Now()
+	}
+}
--- /dev/null
+++ b/pkg/scaling/scaling.go
@@ -0,0 +1,96 @@
+// Package scaling decides how many instances of each service run in each data
+// centre, and of which kind: on-demand ones, which stay, and reclaimable ones,
+// which cost a fraction and may all be taken away from a data centre at once.
+package scaling
+
+import (
+	"math"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/routing"
+)
+
+// Order asks for a number of instances of one kind in a data centre.
+type Order struct {
+	Service     string
+	DataCentre  string
+	Reclaimable bool
+	Count       int
+}
+
+// Place is a data centre and a kind of instances.
+type Place struct {
+	DataCentre  string
+	Reclaimable bool
+}
+
+// Observation is what is known of a service when its capacity is planned.
+type Observation struct {
+	Service string
+	Scaling *routing.Scaling
+	// Present holds the instances that run and aren't leaving.
+	Present map[Place]int
+	// Refused holds when the platform last had no instances to give.
+	Refused map[Place]time.Time
+	// Demand is the number of instances that the load needs.
+	Demand float64
+	Now    time.Time
+}
+
+const (
+	// spareShare is the part of the demand that is kept ready for the loss of the
+	// largest data centre's reclaimable instances, beside a whole one of them.
+	spareShare = 0.15
+	// refusedFor is how long a place that had none to give is not counted on.
+	refusedFor = 5 * time.Second
+	// minTotal is the least number of instances of a service.
+	minTotal = 4
+)
+
+// Plan returns the wanted number of instances at each place: reclaimable ones
+// spread evenly over the data centres, and on-demand ones in the cheapest where
+// reclaimable ones can't be had.
+func Plan(o Observation) map[Place]int {
+	s := o.Scaling
+	centres := s.DataCentres()
+	want := make(map[Place]int, 2*len(centres))
+	if len(centres) == 0 {
+		return want
+	}
+	total := max(minTotal, int(math.Ceil(o.Demand*(1+spareShare))))
+	each := int(math.Ceil(float64(total) / float64(max(1, len(centres)-1))))
+	short := 0
+	for _, dc := range centres {
+		spot := Place{DataCentre: dc, Reclaimable: true}
+		n := min(max(each, s.Min), s.Max)
+		if at, ok := o.Refused[spot]; ok && o.Now.Sub(at) < refusedFor {
+			short += n - min(n, o.Present[spot])
+			n = max(s.Min, min(n, o.Present[spot]))
+		}
+		want[spot] = n
+		want[Place{DataCentre: dc}] = 0
+	}
+	return fill(want, centres, s, min(short, total))
+}
+
+// fill adds on-demand instances in the cheapest data centres for what is short.
+func fill(want map[Place]int, centres []string, s *routing.Scaling, short int) map[Place]int {
+	for short > 0 {
+		best := ""
+		for _, dc := range centres {
+			taken := want[Place{DataCentre: dc}] + want[Place{DataCentre: dc, Reclaimable: true}]
+			if taken >= s.Max {
+				continue
+			}
+			if best == "" || s.Prices[dc] < s.Prices[best] {
+				best = dc
+			}
+		}
+		if best == "" {
+			return want
+		}
+		want[Place{DataCentre: best}]++
+		short--
+	}
+	return want
+}
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -87,6 +87,8 @@
 	Endpoints Endpoints
 	Places    func(e *endpoints.Endpoint) int
 	Now       func() time.Time
+	// Sent counts the prompt tokens of the placed requests.
+	Sent Sent
 
 	mu     sync.Mutex
 	queues map[string]*queue
@@ -163,6 +165,7 @@
 		return nil
 	}
 	c.endpoint.Begin(c.uncached)
+	s.Sent.add(d.Service, c.uncached)
 	return &Placement{Endpoint: c.endpoint, Uncached: c.uncached, Expected: c.start, scheduler: s}
 }
 
--- /dev/null
+++ b/pkg/usage/usage.go
@@ -0,0 +1,123 @@
+// Package usage counts the requests that began to run, by workspace and window
+// of true time, over all instances and their restarts. Counts of one start of
+// an instance only grow, so that reports from several sources merge by the
+// larger one.
+package usage
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// Kept is the number of windows that are kept, the present one included.
+const Kept = 6
+
+// Counts holds the requests of each workspace.
+type Counts map[string]int
+
+// Ledger holds the counts of all known sources. It is safe for concurrent use.
+type Ledger struct {
+	// Source names this start of this instance.
+	Source string
+	// Window is the length of a window.
+	Window time.Duration
+	// Now returns the true time.
+	Now func() time.Time
+
+	mu      sync.Mutex
+	windows map[int64]map[string]Counts
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(source string, window time.Duration, now func() time.Time) *Ledger {
+	return &Ledger{Source: source, Window: window, Now: now, windows: make(map[int64]map[string]Counts)}
+}
+
+// Index returns the number of the window of a time.
+func (l *Ledger) Index(t time.Time) int64 { return t.UnixMilli() / l.Window.Milliseconds() }
+
+// End returns the end of a window.
+func (l *Ledger) End(index int64) time.Time {
+	return time.UnixMilli((index + 1) * l.Window.Milliseconds())
+}
+
+// Began counts a request that has just begun to run.
+func (l *Ledger) Began(workspace string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts(l.Index(l.Now()), l.Source)[workspace]++
+}
+
+// counts returns the counts of a source, which the caller may change.
+func (l *Ledger) counts(index int64, source string) Counts {
+	sources, ok := l.windows[index]
+	if !ok {
+		sources = make(map[string]Counts)
+		l.windows[index] = sources
+		l.forget(index)
+	}
+	c, ok := sources[source]
+	if !ok {
+		c = make(Counts)
+		sources[source] = c
+	}
+	return c
+}
+
+// forget drops windows that are too old to be reported.
+func (l *Ledger) forget(newest int64) {
+	for index := range l.windows {
+		if index < newest-2*Kept {
+			delete(l.windows, index)
+		}
+	}
+}
+
+// Own returns the counts of this start in the newest windows.
+func (l *Ledger) Own() map[int64]map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[int64]map[string]int)
+	newest := l.Index(l.Now())
+	for index, sources := range l.windows {
+		if own, ok := sources[l.Source]; ok && index > newest-Kept {
+			out[index] = maps.Clone(own)
+		}
+	}
+	return out
+}
+
+// Merge takes the counts of a source.
+func (l *Ledger) Merge(source string, windows map[int64]map[string]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for index, from := range windows {
+		c := l.counts(index, source)
+		for workspace, n := range from {
+			c[workspace] = max(c[workspace], n)
+		}
+	}
+}
+
+// Sources returns the counts of a window by source.
+func (l *Ledger) Sources(index int64) map[string]Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]Counts, len(l.windows[index]))
+	for source, c := range l.windows[index] {
+		out[source] = maps.Clone(c)
+	}
+	return out
+}
+
+// Sum returns the counts of a window over all sources.
+func (l *Ledger) Sum(index int64) Counts {
+	out := make(Counts)
+	for _, c := range l.Sources(index) {
+		for workspace, n := range c {
+			out[workspace] += n
+		}
+	}
+	return out
+}
