--- a/cmd/medlarsill-gateway/main.go
+++ b/cmd/medlarsill-gateway/main.go
@@ -12,12 +12,13 @@
 
 func main() {
 	var cfg settings.Gateway
-	if code, done := settings.FromCommandLine(os.Args[1:], &cfg, os.Stdout, os.Stderr); done {
+	file, code, done := settings.FileFromCommandLine(os.Args[1:], &cfg, os.Stdout, os.Stderr)
+	if done {
 		os.Exit(code)
 	}
 	out := logging.NewAsync(os.Stdout)
 	log := logging.New(cfg.Log, out)
-	p := newProcess(cfg, log)
+	p := newProcess(cfg, file, log)
 	if err := p.run(out); err != nil {
 		log.Error("stopped", "error", err.Error())
 		os.Exit(settings.ExitFailure)
--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -16,7 +16,7 @@
 func (p *process) joinPeers() {
 	boot := uint64(time.Now().UnixNano())
 	p.clock = truetime.New(time.Now)
-	window := time.Duration(p.cfg.UsageWindowS * float64(time.Second))
+	window := seconds(p.cfg.UsageWindowS)
 	p.usage = usage.NewLedger(source(p.cfg.ID, boot), window, p.clock.Now)
 	p.meter = scaling.NewMeter(p.table, time.Now)
 	p.loads = endpoints.NewPeerLoads(p.table, time.Now)
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -52,6 +53,7 @@
 // process holds the components of one gateway process.
 type process struct {
 	cfg       settings.Gateway
+	file      string
 	log       *slog.Logger
 	metrics   *prometheus.Registry
 	store     objectstore.Store
@@ -75,9 +77,9 @@
 	stopping  atomic.Bool
 }
 
-func newProcess(cfg settings.Gateway, log *slog.Logger) *process {
+func newProcess(cfg settings.Gateway, file string, log *slog.Logger) *process {
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
-	p := &process{cfg: cfg, log: log, metrics: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now)}
+	p := &process{cfg: cfg, file: file, log: log, metrics: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now)}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: storeConns, IdleConnTimeout: storeIdle,
@@ -134,6 +136,7 @@
 	return actors.Run(
 		out.Run,
 		p.stopOnSignal,
+		p.reloadOnSignal,
 		p.config.Run,
 		p.follower.Run,
 		p.ingress.Sweep,
@@ -158,7 +161,11 @@
 	go func() { failed <- p.ingress.Serve(l) }()
 	select {
 	case err := <-failed:
-		return err
+		if !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-ctx.Done()
+		return nil
 	case <-ctx.Done():
 		return p.ingress.Close()
 	}
--- a/cmd/medlarsill-gateway/stop.go
+++ b/cmd/medlarsill-gateway/stop.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
 	"github.com/labstack/echo/v5"
 
+	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
 )
 
@@ -17,11 +20,7 @@
 	// are sent elsewhere only after its readiness was asked for twice.
 	lameDuck = 2500 * time.Millisecond
 	// stopMargin is the part of the grace that is left for ending the process.
-	stopMargin = 400 * time.Millisecond
-	// stopPoll is the time between two looks at the requests under way.
-	stopPoll = 50 * time.Millisecond
-	// idleRounds is the number of looks without a request after which a process stops.
-	idleRounds = 4
+	stopMargin = 250 * time.Millisecond
 )
 
 // readiness answers whether new callers should come here.
@@ -50,16 +49,42 @@
 	return nil
 }
 
-// drain waits for the end of the requests under way.
+// drain waits for the end of the requests under way. Until the balancer sends
+// callers elsewhere the listener stays open; then kept connections are closed,
+// as a request that came late in the grace could not be finished in it.
 func (p *process) drain() {
-	ctx := context.Background()
-	end := time.Now().Add(time.Duration(p.cfg.StopGraceS*float64(time.Second)) - stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), seconds(p.cfg.StopGraceS)-stopMargin)
+	defer cancel()
 	sleep.For(ctx, lameDuck)
-	for idle := 0; idle < idleRounds && time.Now().Before(end); {
-		sleep.For(ctx, stopPoll)
-		idle++
-		if p.gateway.Active() > 0 {
-			idle = 0
+	if err := p.ingress.Drain(ctx); err != nil {
+		p.log.Warn("stopped with requests under way", "active", p.gateway.Active(), "error", err.Error())
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// reloadOnSignal reads the settings again when asked to. What this process
+// depends on is fixed at its start; a change is told in the log.
+func (p *process) reloadOnSignal(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+			p.reload()
 		}
 	}
 }
+
+// reload checks the settings file and tells whether it differs from what is in use.
+func (p *process) reload() {
+	var next settings.Gateway
+	if err := settings.Load(p.file, &next); err != nil {
+		p.log.Error("settings not reloaded", "error", err.Error())
+		return
+	}
+	p.log.Info("settings reloaded", "changed", !reflect.DeepEqual(next, p.cfg))
+}
--- a/pkg/endpoints/follow.go
+++ b/pkg/endpoints/follow.go
@@ -14,8 +14,9 @@
 const (
 	// retryPause is the mean pause after a failed call; it is drawn from half to one and a half.
 	retryPause = 150 * time.Millisecond
-	// troubleSpan is how long after a failed call a missing registration counts as lapsed.
-	troubleSpan = 4 * time.Second
+	// lapseGrace is how long after the store's return a missing registration may
+	// come back: the platform restores those of living endpoints in about two seconds.
+	lapseGrace = 2400 * time.Millisecond
 )
 
 // Decode reads one registration; an error means that it names no endpoint to use.
@@ -30,10 +31,11 @@
 	Log    *slog.Logger
 	Now    func() time.Time
 
-	at      uint64
-	trouble time.Time
-	down    bool
-	synced  chan struct{}
+	at     uint64
+	down   bool
+	synced chan struct{}
+	// back is when the store answered again after a failed call.
+	back time.Time
 }
 
 // Synced closes when the registrations have been read once. Call it before Run.
@@ -50,9 +52,6 @@
 	first := true
 	for ctx.Err() == nil {
 		changes, err := f.Store.Watch(ctx, f.Prefix, f.at)
-		for _, id := range f.Table.Expire(f.Now()) {
-			f.Log.Info("endpoint gone", "endpoint", id, "reason", "registration lapsed")
-		}
 		if ctx.Err() != nil {
 			break
 		}
@@ -70,7 +69,6 @@
 }
 
 func (f *Follower) failed(ctx context.Context, err error) {
-	f.trouble = f.Now()
 	if !f.down {
 		f.Log.Warn("endpoint list lost", "error", err.Error(), "version", f.at)
 	}
@@ -82,6 +80,7 @@
 	if f.down {
 		f.Log.Info("endpoint list regained", "version", c.Version, "reset", c.Reset)
 		f.down = false
+		f.back = f.Now()
 	}
 	f.at = c.Version
 	if c.Reset {
@@ -148,12 +147,20 @@
 	if _, known := f.Table.ByID(id); !known {
 		return
 	}
-	now := f.Now()
-	if now.Sub(f.trouble) < troubleSpan && !f.trouble.IsZero() {
-		f.Log.Info("registration lapsed", "endpoint", id, "grace", LapseGrace)
-		f.Table.Lapse(id, now.Add(LapseGrace))
+	left := lapseGrace - f.Now().Sub(f.back)
+	if !f.back.IsZero() && left > 0 {
+		f.Log.Info("registration lapsed", "endpoint", id, "grace_ms", left.Milliseconds())
+		f.Table.Lapse(id, f.Now().Add(left))
+		time.AfterFunc(left+time.Millisecond, f.expire)
 		return
 	}
 	f.Log.Info("endpoint gone", "endpoint", id, "reason", "registration removed")
 	f.Table.Remove(id)
 }
+
+// expire removes the endpoints whose registration has not come back.
+func (f *Follower) expire() {
+	for _, id := range f.Table.Expire(f.Now()) {
+		f.Log.Info("endpoint gone", "endpoint", id, "reason", "registration lapsed")
+	}
+}
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -9,11 +9,6 @@
 	"time"
 )
 
-// LapseGrace is how long an endpoint whose registration lapsed while the store
-// was away is kept after the store's return. The platform restores living ones
-// in about two seconds.
-const LapseGrace = 2500 * time.Millisecond
-
 // Table holds the known endpoints. It is safe for concurrent use.
 type Table struct {
 	mu    sync.Mutex
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -69,8 +69,9 @@
 // Close ends all connections at once.
 func (s *Server) Close() error { return s.http.Close() }
 
-// CloseIdle closes the listener and the connections that no request is under way on.
-func (s *Server) CloseIdle(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// Drain closes the listener and the connections that no request is under way
+// on, and waits for the others until the context ends.
+func (s *Server) Drain(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
 func (s *Server) connState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -47,9 +47,10 @@
 	minTotal = 4
 )
 
-// Plan returns the wanted number of instances at each place: reclaimable ones
-// spread evenly over the data centres, and on-demand ones in the cheapest where
-// reclaimable ones can't be had.
+// Plan returns the wanted number of instances at each place. Reclaimable ones
+// are spread evenly over the data centres, so many that the loss of one data
+// centre's leaves enough. What can't be had of them is made up for by on-demand
+// ones in the cheapest data centres.
 func Plan(o Observation) map[Place]int {
 	s := o.Scaling
 	centres := s.DataCentres()
@@ -59,18 +60,18 @@
 	}
 	total := max(minTotal, int(math.Ceil(o.Demand*(1+spareShare))))
 	each := int(math.Ceil(float64(total) / float64(max(1, len(centres)-1))))
-	short := 0
+	sure := 0
 	for _, dc := range centres {
 		spot := Place{DataCentre: dc, Reclaimable: true}
 		n := min(max(each, s.Min), s.Max)
-		if at, ok := o.Refused[spot]; ok && o.Now.Sub(at) < refusedFor {
-			short += n - min(n, o.Present[spot])
-			n = max(s.Min, min(n, o.Present[spot]))
-		}
 		want[spot] = n
 		want[Place{DataCentre: dc}] = 0
+		if at, ok := o.Refused[spot]; ok && o.Now.Sub(at) < refusedFor {
+			n = min(n, o.Present[spot])
+		}
+		sure += n
 	}
-	return fill(want, centres, s, min(short, total))
+	return fill(want, centres, s, total-sure)
 }
 
 // fill adds on-demand instances in the cheapest data centres for what is short.
@@ -78,8 +79,7 @@
 	for short > 0 {
 		best := ""
 		for _, dc := range centres {
-			taken := want[Place{DataCentre: dc}] + want[Place{DataCentre: dc, Reclaimable: true}]
-			if taken >= s.Max {
+			if want[Place{DataCentre: dc}] >= s.Max {
 				continue
 			}
 			if best == "" || s.Prices[dc] < s.Prices[best] {
--- a/pkg/settings/command.go
+++ b/pkg/settings/command.go
@@ -34,6 +34,13 @@
 // settings that it names into out, a pointer to the program's settings. If
 // done is set, the process must exit with the code.
 func FromCommandLine(args []string, out any, stdout, stderr io.Writer) (code int, done bool) {
+	_, code, done = FileFromCommandLine(args, out, stdout, stderr)
+	return code, done
+}
+
+// FileFromCommandLine is FromCommandLine for programs that read their settings
+// again: it also returns the name of the settings file.
+func FileFromCommandLine(args []string, out any, stdout, stderr io.Writer) (file string, code int, done bool) {
 	var o Options
 	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
 	rest, err := parser.ParseArgs(args)
@@ -41,26 +48,26 @@
 	switch {
 	case errors.As(err, &failure) && failure.Type == flags.ErrHelp:
 		fmt.Fprintln(stdout, err)
-		return ExitOK, true
+		return "", ExitOK, true
 	case err != nil:
 		fmt.Fprintln(stderr, err)
-		return ExitInvalid, true
+		return "", ExitInvalid, true
 	case len(rest) > 0:
 		fmt.Fprintln(stderr, "unexpected argument:", rest[0])
-		return ExitInvalid, true
+		return "", ExitInvalid, true
 	case o.PrintDefaults:
 		program, _ := programOf(out)
 		fmt.Fprint(stdout, Reference(program))
-		return ExitOK, true
+		return "", ExitOK, true
 	case o.Settings == "":
 		fmt.Fprintln(stderr, "the required flag --settings was not given")
-		return ExitInvalid, true
+		return "", ExitInvalid, true
 	}
 	if err := load(o, out); err != nil {
 		fmt.Fprintln(stderr, err)
-		return ExitInvalid, true
+		return "", ExitInvalid, true
 	}
-	return ExitOK, o.Check
+	return o.Settings, ExitOK, o.Check
 }
 
 // load reads the settings, and checks them against a shared configuration if one is named.
