--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -48,8 +48,8 @@
 		}
 	}
 	m.Totals = p.book.Totals()
-	m.Sent = p.scheduler.Sent.Totals()
-	p.meter.Heard(p.usage.Source, m.Sent)
+	m.Asked = p.scheduler.Asked.Totals()
+	p.meter.Heard(p.usage.Source, m.Asked)
 	if withUsage {
 		m.Usage = p.usage.Own()
 	}
@@ -60,7 +60,7 @@
 	from := source(m.ID, m.Boot)
 	p.clock.Heard(m.ID, time.UnixMilli(m.WallMS))
 	p.book.Heard(m.ID, m.Boot, m.Totals)
-	p.meter.Heard(from, m.Sent)
+	p.meter.Heard(from, m.Asked)
 	if m.Usage != nil {
 		p.usage.Merge(from, m.Usage)
 	}
--- a/pkg/scaling/load.go
+++ b/pkg/scaling/load.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// promptRate is the number of prompt tokens that an engine should read in a
-	// second at most, so that new requests begin within their objectives.
-	promptRate = 60_000
+	// promptRate is the number of prompt tokens, cached ones included, that an
+	// engine should take in a second at most, so that new requests begin in time.
+	promptRate = 100_000
 	// runningShare is the share of an engine's slots that should be in use at most.
 	runningShare = 0.5
 	// maxRunning bounds that number: more streams slow each other down.
@@ -20,16 +20,16 @@
 	rateSpan = 2 * time.Second
 )
 
-// Meter works out from what all instances have sent how many engines the load
+// Meter works out from what all instances were asked how many engines the load
 // of a service needs. It is safe for concurrent use.
 type Meter struct {
 	Endpoints *endpoints.Table
 	Now       func() time.Time
 
 	mu sync.Mutex
-	// totals holds the prompt tokens sent since its start, by source and service.
+	// totals holds the prompt tokens asked for since its start, by source and service.
 	totals map[string]map[string]float64
-	sent   map[string]float64
+	asked  map[string]float64
 	rates  map[string]float64
 	at     time.Time
 }
@@ -38,11 +38,11 @@
 func NewMeter(t *endpoints.Table, now func() time.Time) *Meter {
 	return &Meter{
 		Endpoints: t, Now: now, totals: make(map[string]map[string]float64),
-		sent: make(map[string]float64), rates: make(map[string]float64), at: now(),
+		asked: make(map[string]float64), rates: make(map[string]float64), at: now(),
 	}
 }
 
-// Heard takes the prompt tokens that one start of an instance has sent, by service.
+// Heard takes the prompt tokens that one start of an instance was asked to have read, by service.
 func (m *Meter) Heard(source string, totals map[string]float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -50,7 +50,7 @@
 	m.totals[source] = totals
 	if known {
 		for name, n := range totals {
-			m.sent[name] += max(0, n-before[name])
+			m.asked[name] += max(0, n-before[name])
 		}
 	}
 	m.turn()
@@ -64,10 +64,10 @@
 		return
 	}
 	clear(m.rates)
-	for name, n := range m.sent {
+	for name, n := range m.asked {
 		m.rates[name] = n / passed.Seconds()
 	}
-	clear(m.sent)
+	clear(m.asked)
 	m.at = now
 }
 
--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -69,6 +69,8 @@
 	at      time.Time
 	ordered map[Place]order
 	refused map[Place]time.Time
+	// seen holds how many instances were last present.
+	seen map[Place]int
 	// surplus holds since when a place has had more than is wanted.
 	surplus map[Place]time.Time
 }
@@ -108,7 +110,7 @@
 	now := p.Now()
 	state, ok := p.services[s.Name]
 	if !ok {
-		state = &service{ordered: make(map[Place]order), refused: make(map[Place]time.Time), surplus: make(map[Place]time.Time)}
+		state = &service{ordered: make(map[Place]order), refused: make(map[Place]time.Time), surplus: make(map[Place]time.Time), seen: make(map[Place]int)}
 		p.services[s.Name] = state
 	}
 	state.follow(p.Load.Engines(s), now)
@@ -155,14 +157,15 @@
 	if !known {
 		last.count = have
 	}
+	lost := have < s.seen[place]
+	s.seen[place] = have
+	missing := have < wanted && (lost || now.Sub(last.at) > boot+repeatAfter)
 	switch {
-	case wanted > last.count:
+	case wanted > last.count || missing:
 		delete(s.surplus, place)
 		return wanted, !s.recently(place, now)
-	case wanted < last.count:
+	case wanted < last.count && have > wanted:
 		return s.release(place, want, present, now)
-	case have < wanted && now.Sub(last.at) > boot+repeatAfter:
-		return wanted, !s.recently(place, now)
 	}
 	delete(s.surplus, place)
 	return 0, false
--- a/pkg/schedule/demand.go
+++ b/pkg/schedule/demand.go
@@ -2,14 +2,14 @@
 
 import "sync"
 
-// Sent counts the prompt tokens that were sent to be read, by service. It is
+// Asked counts the prompt tokens of the requests to place, by service. It is
 // safe for concurrent use.
-type Sent struct {
+type Asked struct {
 	mu     sync.Mutex
 	tokens map[string]float64
 }
 
-func (s *Sent) add(service string, tokens int) {
+func (s *Asked) add(service string, tokens int) {
 	if tokens == 0 {
 		return
 	}
@@ -22,7 +22,7 @@
 }
 
 // Totals returns the tokens since the start, by service.
-func (s *Sent) Totals() map[string]float64 {
+func (s *Asked) Totals() map[string]float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make(map[string]float64, len(s.tokens))
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -87,8 +87,8 @@
 	Endpoints Endpoints
 	Places    func(e *endpoints.Endpoint) int
 	Now       func() time.Time
-	// Sent counts the prompt tokens of the placed requests.
-	Sent Sent
+	// Asked counts the prompt tokens of the requests to place.
+	Asked Asked
 
 	mu     sync.Mutex
 	queues map[string]*queue
@@ -115,6 +115,7 @@
 func (s *Scheduler) Place(ctx context.Context, d Demand) (*Placement, error) {
 	q := s.queue(d.Service)
 	now := s.Now()
+	s.Asked.add(d.Service, d.Prompt)
 	q.mu.Lock()
 	if len(q.waiting) == 0 {
 		if p := s.try(d, now); p != nil {
@@ -165,7 +166,6 @@
 		return nil
 	}
 	c.endpoint.Begin(c.uncached)
-	s.Sent.add(d.Service, c.uncached)
 	return &Placement{Endpoint: c.endpoint, Uncached: c.uncached, Expected: c.start, scheduler: s}
 }
 
