--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -34,5 +34,6 @@
 	p.reporter = &usage.Reporter{Ledger: p.usage, Store: p.store, Lease: p.duty, Platform: calls, Log: p.log}
 	p.planner = &scaling.Planner{
 		Config: p.config, Endpoints: p.table, Load: p.meter, Lease: p.duty, Platform: calls, Log: p.log, Now: time.Now,
+		FirstStart: p.cfg.FirstStart,
 	}
 }
--- a/pkg/scaling/load.go
+++ b/pkg/scaling/load.go
@@ -11,7 +11,7 @@
 const (
 	// promptRate is the number of prompt tokens, cached ones included, that an
 	// engine should take in a second at most, so that new requests begin in time.
-	promptRate = 100_000
+	promptRate = 150_000
 	// runningShare is the share of an engine's slots that should be in use at most.
 	runningShare = 0.5
 	// maxRunning bounds that number: more streams slow each other down.
--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -20,6 +20,8 @@
 	// repeatAfter is the time beyond the boot after which an order that shows no
 	// instances is given again.
 	repeatAfter = 3 * time.Second
+	// probeInterval is the time between two orders while the platform refuses them.
+	probeInterval = time.Second
 	// releaseAfter is how long fewer instances must be wanted before some are given up.
 	releaseAfter = 6 * time.Second
 	// riseTime and fallTime smooth the demand: it is followed fast when it grows.
@@ -58,6 +60,8 @@
 	Platform  Platform
 	Log       *slog.Logger
 	Now       func() time.Time
+	// FirstStart tells that no work was under way when this process started.
+	FirstStart bool
 
 	fence    uint64
 	services map[string]*service
@@ -65,8 +69,10 @@
 
 // service is what the planner remembers of a service while it holds the duty.
 type service struct {
-	demand  float64
-	at      time.Time
+	demand float64
+	at     time.Time
+	// unused is true until the first request ever.
+	unused  bool
 	ordered map[Place]order
 	refused map[Place]time.Time
 	// seen holds how many instances were last present.
@@ -110,10 +116,12 @@
 	now := p.Now()
 	state, ok := p.services[s.Name]
 	if !ok {
-		state = &service{ordered: make(map[Place]order), refused: make(map[Place]time.Time), surplus: make(map[Place]time.Time), seen: make(map[Place]int)}
+		state = &service{unused: p.FirstStart, ordered: make(map[Place]order), refused: make(map[Place]time.Time), surplus: make(map[Place]time.Time), seen: make(map[Place]int)}
 		p.services[s.Name] = state
 	}
-	state.follow(p.Load.Engines(s), now)
+	demand := p.Load.Engines(s)
+	state.unused = state.unused && demand == 0
+	state.follow(demand, now)
 	present := p.present(s.Name)
 	want := Plan(Observation{Service: s.Name, Scaling: s.Scaling, Present: present, Refused: state.refused, Demand: state.demand, Now: now})
 	for _, dc := range s.Scaling.DataCentres() {
@@ -171,10 +179,19 @@
 	return 0, false
 }
 
-// recently tells whether the platform has just refused an order for a place.
+// recently tells whether the platform has just refused an order for reclaimable
+// instances. What it lacks in one data centre it often lacks in all, so one
+// order at a time finds out whether there are some again.
 func (s *service) recently(place Place, now time.Time) bool {
-	at, ok := s.refused[place]
-	return ok && now.Sub(at) < time.Second
+	if !place.Reclaimable {
+		return now.Sub(s.refused[place]) < probeInterval
+	}
+	for at, when := range s.refused {
+		if at.Reclaimable && now.Sub(when) < probeInterval {
+			return true
+		}
+	}
+	return false
 }
 
 // release gives up a surplus that has lasted, if what stays is enough without it.
@@ -188,7 +205,7 @@
 	if !place.Reclaimable {
 		wait = stepInterval
 	}
-	if now.Sub(since) < wait {
+	if now.Sub(since) < wait && !s.unused {
 		return 0, false
 	}
 	total, have := 0, 0
@@ -201,13 +218,22 @@
 			have -= n - want[place]
 		}
 	}
-	if have < total {
+	if have < total && !s.unused {
 		return 0, false
 	}
 	delete(s.surplus, place)
 	return want[place], true
 }
 
+// granted takes the news that a place has instances to give: the others may have too.
+func (s *service) granted(place Place) {
+	for at := range s.refused {
+		if at.Reclaimable == place.Reclaimable {
+			delete(s.refused, at)
+		}
+	}
+}
+
 // order gives one order.
 func (p *Planner) order(ctx context.Context, state *service, s *routing.Service, o Order) {
 	place := Place{DataCentre: o.DataCentre, Reclaimable: o.Reclaimable}
@@ -219,7 +245,7 @@
 	switch {
 	case err == nil:
 		state.ordered[place] = order{count: o.Count, at: p.Now()}
-		delete(state.refused, place)
+		state.granted(place)
 	case errors.Is(err, cloud.ErrRefused):
 		state.refused[place] = p.Now()
 	}
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -41,7 +41,7 @@
 	// spareShare is the part of the demand that is kept ready for the loss of the
 	// largest data centre's reclaimable instances, beside a whole one of them.
 	spareShare = 0.15
-	// refusedFor is how long a place that had none to give is not counted on.
+	// refusedFor is how long after a refusal reclaimable instances are taken for scarce.
 	refusedFor = 5 * time.Second
 	// minTotal is the least number of instances of a service.
 	minTotal = 4
@@ -60,13 +60,14 @@
 	}
 	total := max(minTotal, int(math.Ceil(o.Demand*(1+spareShare))))
 	each := int(math.Ceil(float64(total) / float64(max(1, len(centres)-1))))
+	scarce := o.scarce()
 	sure := 0
 	for _, dc := range centres {
 		spot := Place{DataCentre: dc, Reclaimable: true}
 		n := min(max(each, s.Min), s.Max)
 		want[spot] = n
 		want[Place{DataCentre: dc}] = 0
-		if at, ok := o.Refused[spot]; ok && o.Now.Sub(at) < refusedFor {
+		if scarce {
 			n = min(n, o.Present[spot])
 		}
 		sure += n
@@ -74,6 +75,17 @@
 	return fill(want, centres, s, total-sure)
 }
 
+// scarce tells whether the platform has just refused reclaimable instances
+// anywhere: then those that run are all that can be counted on.
+func (o Observation) scarce() bool {
+	for place, at := range o.Refused {
+		if place.Reclaimable && o.Now.Sub(at) < refusedFor {
+			return true
+		}
+	}
+	return false
+}
+
 // fill adds on-demand instances in the cheapest data centres for what is short.
 func fill(want map[Place]int, centres []string, s *routing.Scaling, short int) map[Place]int {
 	for short > 0 {
--- a/pkg/settings/types.go
+++ b/pkg/settings/types.go
@@ -141,6 +141,8 @@
 	CloudAPI  string `json:"cloud_api"`
 	// Duties names the duties that the platform asks for.
 	Duties []string `json:"duties"`
+	// FirstStart is true only when the whole system starts for the first time.
+	FirstStart bool `json:"first_start"`
 	// MemoryMB is the memory of the instance in megabytes, MaxDescriptors its file descriptors.
 	MemoryMB       int `json:"memory_mb"`
 	MaxDescriptors int `json:"max_descriptors"`
