--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -19,6 +19,9 @@
 	rateWeight = 0.4
 	// minWait is the least time after which a refused caller may come back.
 	minWait = 100 * time.Millisecond
+	// lateShare is the part of a full account that is kept for requests that can
+	// still be on time.
+	lateShare = 0.3
 	// forgetAfter is how long the account of a silent peer is kept apart from the
 	// equal share that is set aside for it.
 	forgetAfter = time.Minute
@@ -79,8 +82,9 @@
 
 // Take counts a request of a cost against its workspace's limit, or tells when
 // to come back. A request may overdraw the account, so that large ones are
-// served as often as small ones.
-func (b *Book) Take(w *routing.Workspace, cost float64) (wait time.Duration, ok bool) {
+// served as often as small ones. Requests that are late already are admitted
+// only from what others leave.
+func (b *Book) Take(w *routing.Workspace, cost float64, late bool) (wait time.Duration, ok bool) {
 	if w.Rate <= 0 {
 		return 0, true
 	}
@@ -89,8 +93,12 @@
 	now := b.Now()
 	a := b.account(w, now)
 	b.settle(a, now)
-	if a.level <= 0 {
-		back := time.Duration((cost/2 - a.level) / (w.Rate * (1 + b.Over)) * float64(time.Second))
+	floor := 0.0
+	if late {
+		floor = lateShare * b.capacity(a)
+	}
+	if a.level <= floor {
+		back := time.Duration((floor + cost/2 - a.level) / (w.Rate * (1 + b.Over)) * float64(time.Second))
 		return max(minWait, back), false
 	}
 	a.level -= cost
--- a/pkg/endpoints/follow.go
+++ b/pkg/endpoints/follow.go
@@ -14,6 +14,8 @@
 const (
 	// retryPause is the mean pause after a failed call; it is drawn from half to one and a half.
 	retryPause = 150 * time.Millisecond
+	// groupPause is the time after a change in which further ones gather.
+	groupPause = 200 * time.Millisecond
 	// lapseGrace is how long after the store's return a missing registration may
 	// come back: the platform restores those of living endpoints in about two seconds.
 	lapseGrace = 2400 * time.Millisecond
@@ -60,6 +62,10 @@
 			continue
 		}
 		f.apply(changes)
+		if len(changes.Objects) > 0 && !changes.Reset {
+			// Changes come in groups; a short pause takes a group in one call.
+			sleep.For(ctx, groupPause)
+		}
 		if first {
 			close(f.synced)
 			first = false
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -17,6 +17,9 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	arrived time.Time
+	// first is when the caller sent the request for the first time, as far as
+	// its patience tells.
+	first time.Time
 
 	// Filled in by the filters.
 	meta      Meta
@@ -46,7 +49,7 @@
 // demand describes the call to the scheduler.
 func (c *call) demand() schedule.Demand {
 	return schedule.Demand{
-		Service: c.service, Priority: c.priority, Arrived: c.arrived, Target: c.route.Target, Deadline: c.deadline,
+		Service: c.service, Priority: c.priority, Arrived: c.first, Target: c.route.Target, Deadline: c.deadline,
 		Prompt: c.meta.Prompt, Output: c.meta.Output, Parts: c.meta.Prefix, Avoid: c.avoid,
 	}
 }
@@ -59,6 +62,9 @@
 	c.avoid[id] = true
 }
 
+// late tells whether the latency objective has passed already.
+func (c *call) late() bool { return c.arrived.Sub(c.first) >= c.route.Target }
+
 func (c *call) workspaceName() string {
 	if c.workspace == nil {
 		return ""
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -34,6 +34,7 @@
 		return &refusal{status: http.StatusBadRequest, reason: "no request id"}
 	}
 	c.route = route
+	c.first = c.arrived.Add(-g.patience.spent(route.Name, c.meta.Deadline))
 	c.priority = route.Priority
 	c.service = route.Pick(g.Random())
 	c.deadline = c.arrived.Add(timeout(route, c.meta))
@@ -119,7 +120,7 @@
 	if c.workspace == nil {
 		return nil
 	}
-	wait, ok := g.Allowance.Take(c.workspace, c.cost())
+	wait, ok := g.Allowance.Take(c.workspace, c.cost(), c.late())
 	if ok {
 		return nil
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -24,8 +24,11 @@
 
 // Allowance counts requests against the limits of their workspaces.
 type Allowance interface {
-	// Take counts a request of a cost, or tells when to come back.
-	Take(w *routing.Workspace, cost float64) (wait time.Duration, ok bool)
+	// Take counts a request of a cost, or tells when to come back. Requests
+	// that are late already give way to those that can be on time.
+	Take(w *routing.Workspace, cost float64, late bool) (wait time.Duration, ok bool)
+	// Refund takes back the cost of a request that did not run.
+	Refund(w *routing.Workspace, cost float64)
 }
 
 // Retries bounds the requests that are sent more than once.
@@ -60,6 +63,7 @@
 // Gateway is an http.Handler that passes requests on to endpoints.
 type Gateway struct {
 	Options
+	patience patience
 	stopping atomic.Bool
 	active   atomic.Int64
 }
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -115,6 +115,9 @@
 		c.deliver(c.spare)
 		return
 	}
+	if c.ran == 0 && c.workspace != nil {
+		c.gateway.Allowance.Refund(c.workspace, c.cost())
+	}
 	if c.ran > 0 {
 		status := http.StatusBadGateway
 		if ctx.Err() != nil {
--- a/pkg/schedule/queue.go
+++ b/pkg/schedule/queue.go
@@ -17,19 +17,32 @@
 
 // waitLimit is how long the request may wait for a place.
 func (d Demand) waitLimit(now time.Time) time.Duration {
-	byTarget := time.Duration(targetShare*float64(d.Target)) - now.Sub(d.Arrived)
 	byDeadline := time.Duration(deadlineShare * float64(d.Deadline.Sub(now)))
+	if d.late(now) {
+		return byDeadline
+	}
+	byTarget := time.Duration(targetShare*float64(d.Target)) - now.Sub(d.Arrived)
 	return min(byTarget, byDeadline)
 }
 
+// late tells whether the latency objective has passed.
+func (d Demand) late(now time.Time) bool {
+	return now.Sub(d.Arrived) >= d.Target
+}
+
 // waiter is one request that waits for a place.
 type waiter struct {
 	demand  Demand
+	late    bool
 	granted chan *Placement
 }
 
-// before orders waiting requests: the more urgent first, then the one that is due first.
+// before orders waiting requests: those that can be on time first, then the
+// more urgent, then the one that is due first.
 func (w *waiter) before(o *waiter) bool {
+	if w.late != o.late {
+		return !w.late
+	}
 	if w.demand.Priority != o.demand.Priority {
 		return w.demand.Priority < o.demand.Priority
 	}
@@ -68,8 +81,7 @@
 }
 
 // estimate is the expected wait of a request that joins the queue.
-func (q *queue) estimate(d Demand) time.Duration {
-	w := &waiter{demand: d}
+func (q *queue) estimate(w *waiter) time.Duration {
 	ahead := 0
 	for _, o := range q.waiting {
 		if !w.before(o) {
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -33,7 +33,7 @@
 	Service string
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
-	// Arrived is when the request came, Target its latency objective.
+	// Arrived is when the caller first sent the request, Target its latency objective.
 	Arrived time.Time
 	Target  time.Duration
 	// Deadline is when an answer is of no use any more.
@@ -124,11 +124,11 @@
 		}
 	}
 	limit := d.waitLimit(now)
-	if limit <= 0 || q.estimate(d) > limit {
+	w := &waiter{demand: d, late: d.late(now), granted: make(chan *Placement, 1)}
+	if limit <= 0 || q.estimate(w) > limit {
 		q.mu.Unlock()
 		return nil, ErrBusy
 	}
-	w := &waiter{demand: d, granted: make(chan *Placement, 1)}
 	q.add(w)
 	q.mu.Unlock()
 	return s.wait(ctx, q, w, limit)
