--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -18,7 +18,7 @@
 	p.clock = truetime.New(time.Now)
 	window := seconds(p.cfg.UsageWindowS)
 	p.usage = usage.NewLedger(source(p.cfg.ID, boot), window, p.clock.Now)
-	p.meter = scaling.NewMeter(p.table, time.Now)
+	p.meter = scaling.NewMeter(time.Now)
 	p.loads = endpoints.NewPeerLoads(p.table, time.Now)
 	// The settings were checked: the IP number can be read.
 	ip := netip.MustParseAddr(p.cfg.IP)
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -50,7 +50,7 @@
 func (c *call) demand() schedule.Demand {
 	return schedule.Demand{
 		Service: c.service, Priority: c.priority, Arrived: c.first, Target: c.route.Target, Deadline: c.deadline,
-		Prompt: c.meta.Prompt, Output: c.meta.Output, Parts: c.meta.Prefix, Avoid: c.avoid,
+		Prompt: c.meta.Prompt, Output: c.meta.Output, OutputHint: c.meta.OutputHint, Parts: c.meta.Prefix, Avoid: c.avoid,
 	}
 }
 
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -38,7 +38,7 @@
 	Load map[string]Load `cbor:"6,keyasint"`
 	// Totals holds what the sender has admitted since its start, by workspace.
 	Totals map[string]float64 `cbor:"7,keyasint"`
-	// Asked holds the prompt tokens of the requests since the sender's start, by service.
+	// Asked holds the engine time in seconds that was asked for since the sender's start, by service.
 	Asked map[string]float64 `cbor:"9,keyasint,omitempty"`
 	// Usage holds the requests that began to run, by usage window and workspace;
 	// it is left out of most messages.
--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -172,13 +172,18 @@
 	case wanted > last.count || missing:
 		delete(s.surplus, place)
 		return wanted, !s.recently(place, now)
-	case wanted < last.count && have > wanted:
+	case wanted < last.count && have > wanted && (place.Reclaimable || !s.scarce(now)):
 		return s.release(place, want, present, now)
 	}
 	delete(s.surplus, place)
 	return 0, false
 }
 
+// scarce tells whether reclaimable instances were refused a short while ago.
+func (s *service) scarce(now time.Time) bool {
+	return Observation{Refused: s.refused, Now: now}.scarce()
+}
+
 // recently tells whether the platform has just refused an order for reclaimable
 // instances. What it lacks in one data centre it often lacks in all, so one
 // order at a time finds out whether there are some again.
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -40,6 +40,8 @@
 	Deadline time.Time
 	// Prompt and Output are the numbers of tokens read and written at most; 0 for plain calls.
 	Prompt, Output int
+	// OutputHint is the caller's guess of the output tokens; 0 if none.
+	OutputHint int
 	// Parts are the parts of the prompt in order.
 	Parts []Part
 	// Avoid holds the ids of endpoints that this request must not go to.
@@ -87,7 +89,7 @@
 	Endpoints Endpoints
 	Places    func(e *endpoints.Endpoint) int
 	Now       func() time.Time
-	// Asked counts the prompt tokens of the requests to place.
+	// Asked sums the engine time of the requests to place.
 	Asked Asked
 
 	mu     sync.Mutex
@@ -115,7 +117,7 @@
 func (s *Scheduler) Place(ctx context.Context, d Demand) (*Placement, error) {
 	q := s.queue(d.Service)
 	now := s.Now()
-	s.Asked.add(d.Service, d.Prompt)
+	s.Asked.add(d.Service, d.work())
 	q.mu.Lock()
 	if len(q.waiting) == 0 {
 		if p := s.try(d, now); p != nil {
