--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -44,7 +44,7 @@
 	// refusedFor is how long after a refusal reclaimable instances are taken for scarce.
 	refusedFor = 5 * time.Second
 	// minTotal is the least number of instances of a service.
-	minTotal = 4
+	minTotal = 3
 )
 
 // Plan returns the wanted number of instances at each place. Reclaimable ones
@@ -61,7 +61,7 @@
 	total := max(minTotal, int(math.Ceil(o.Demand*(1+spareShare))))
 	each := int(math.Ceil(float64(total) / float64(max(1, len(centres)-1))))
 	scarce := o.scarce()
-	sure, largest := 0, 0
+	sure := 0
 	for _, dc := range centres {
 		spot := Place{DataCentre: dc, Reclaimable: true}
 		n := min(max(each, s.Min), s.Max)
@@ -71,11 +71,6 @@
 			n = min(n, o.Present[spot])
 		}
 		sure += n
-		largest = max(largest, n)
-	}
-	if scarce {
-		// The next reclaim would take another data centre's, sooner than others boot.
-		sure -= largest
 	}
 	return fill(want, centres, s, total-sure)
 }
