--- a/pkg/scaling/load.go
+++ b/pkg/scaling/load.go
@@ -10,7 +10,7 @@
 const (
 	// busyShare is the share of the time that an engine should be busy at most, so
 	// that new requests begin within their objectives.
-	busyShare = 1.1
+	busyShare = 0.8
 	// rateSpan is the time over which the rate of the work is taken.
 	rateSpan = 2 * time.Second
 )
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -38,13 +38,13 @@
 }
 
 const (
-	// spareShare is the part of the demand that is kept ready for the loss of the
-	// largest data centre's reclaimable instances, beside a whole one of them.
-	spareShare = 0.15
+	// spareShare is the part of the demand that cheap reclaimable instances are
+	// kept beyond it, beside a whole data centre's.
+	spareShare = 0.3
 	// refusedFor is how long after a refusal reclaimable instances are taken for scarce.
 	refusedFor = 5 * time.Second
 	// minTotal is the least number of instances of a service.
-	minTotal = 3
+	minTotal = 4
 )
 
 // Plan returns the wanted number of instances at each place. Reclaimable ones
@@ -58,8 +58,9 @@
 	if len(centres) == 0 {
 		return want
 	}
-	total := max(minTotal, int(math.Ceil(o.Demand*(1+spareShare))))
-	each := int(math.Ceil(float64(total) / float64(max(1, len(centres)-1))))
+	total := max(minTotal, int(math.Ceil(o.Demand)))
+	ample := max(float64(minTotal), o.Demand*(1+spareShare))
+	each := int(math.Ceil(ample / float64(max(1, len(centres)-1))))
 	scarce := o.scarce()
 	sure := 0
 	for _, dc := range centres {
