--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -51,6 +51,7 @@
 	return schedule.Demand{
 		Service: c.service, Priority: c.priority, Arrived: c.first, Target: c.route.Target, Deadline: c.deadline,
 		Prompt: c.meta.Prompt, Output: c.meta.Output, OutputHint: c.meta.OutputHint, Parts: c.meta.Prefix, Avoid: c.avoid,
+		Again: len(c.avoid) > 0 || c.first.Before(c.arrived),
 	}
 }
 
--- a/pkg/gateway/patience.go
+++ b/pkg/gateway/patience.go
@@ -9,6 +9,10 @@
 // wait shrinks with each request, so that a change of theirs is followed.
 const fadeShare = 0.001
 
+// minSpent is the least time that a caller has waited if it comes again: less
+// is the time that its first request spent on the way.
+const minSpent = 40 * time.Millisecond
+
 // patience learns how long the callers of each route wait. A request that
 // comes with less was sent before: its caller was refused, or met a failure. It
 // is safe for concurrent use.
@@ -34,5 +38,8 @@
 		return 0
 	}
 	p.longest[route] = longest - time.Duration(fadeShare*float64(longest-left))
+	if longest-left < minSpent {
+		return 0
+	}
 	return longest - left
 }
--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -24,6 +24,9 @@
 	probeInterval = time.Second
 	// releaseAfter is how long fewer instances must be wanted before some are given up.
 	releaseAfter = 6 * time.Second
+	// firstShare is the part of the instances found at the first start that is
+	// taken for the demand until requests show it.
+	firstShare = 0.6
 	// riseTime and fallTime smooth the demand: it is followed fast when it grows.
 	riseTime = time.Second
 	fallTime = 12 * time.Second
@@ -121,6 +124,9 @@
 	}
 	demand := p.Load.Engines(s)
 	state.unused = state.unused && demand == 0
+	if state.unused {
+		demand = max(state.demand, firstShare*float64(p.registered(s.Name)))
+	}
 	state.follow(demand, now)
 	present := p.present(s.Name)
 	want := Plan(Observation{Service: s.Name, Scaling: s.Scaling, Present: present, Refused: state.refused, Demand: state.demand, Now: now})
@@ -143,6 +149,17 @@
 	return out
 }
 
+// registered counts the instances of a service, also those that are leaving.
+func (p *Planner) registered(name string) int {
+	n := 0
+	for _, e := range p.Endpoints.All() {
+		if e.Service == name && !e.Info().Reclaimable {
+			n++
+		}
+	}
+	return n
+}
+
 // follow smooths the demand.
 func (s *service) follow(demand float64, now time.Time) {
 	if s.at.IsZero() {
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -44,6 +44,8 @@
 	OutputHint int
 	// Parts are the parts of the prompt in order.
 	Parts []Part
+	// Again is true if the request was asked for before.
+	Again bool
 	// Avoid holds the ids of endpoints that this request must not go to.
 	Avoid map[string]bool
 }
@@ -117,7 +119,9 @@
 func (s *Scheduler) Place(ctx context.Context, d Demand) (*Placement, error) {
 	q := s.queue(d.Service)
 	now := s.Now()
-	s.Asked.add(d.Service, d.work())
+	if !d.Again {
+		s.Asked.add(d.Service, d.work())
+	}
 	q.mu.Lock()
 	if len(q.waiting) == 0 {
 		if p := s.try(d, now); p != nil {
