--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -20,15 +20,23 @@
 	leaseSlack = 300 * time.Millisecond
 )
 
+const (
+	// leasePolls is the number of reads in the duration of a lease by each candidate.
+	leasePolls = 4
+	// candidates is the number of instances that are ready to take the duties over.
+	candidates = 2
+)
+
 // takeDuties sets up the duties that one instance at a time carries out.
 func (p *process) takeDuties(client *http.Client) {
+	duration := time.Duration(p.cfg.LeaseMS)*time.Millisecond + leaseSlack
 	p.duty = lease.New(lease.Options{
 		Config: lease.Config{
-			Self: p.usage.Source, Duration: time.Duration(p.cfg.LeaseMS)*time.Millisecond + leaseSlack,
+			Self: p.usage.Source, Duration: duration, Poll: duration / leasePolls,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), WriteID: uuid.NewString,
 		},
 		Duty: dutyName, Store: p.store, Log: p.log, Now: time.Now,
-		Candidate: func() bool { return p.ready() },
+		Candidate: func() bool { return p.ready() && p.node.Rank() < candidates },
 	})
 	calls := platform.NewCloud(p.cfg.CloudAPI, p.cfg.ID, client)
 	p.reporter = &usage.Reporter{Ledger: p.usage, Store: p.store, Lease: p.duty, Platform: calls, Log: p.log}
--- a/pkg/endpoints/endpoint.go
+++ b/pkg/endpoints/endpoint.go
@@ -100,9 +100,10 @@
 func (e *Endpoint) Left() <-chan struct{} { return e.left }
 
 // Begin counts a request with uncached prompt tokens as sent.
-func (e *Endpoint) Begin(prompt int) {
+func (e *Endpoint) Begin(prompt int, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.health.tried(now)
 	e.own.Running++
 	e.own.Prompt += prompt
 }
--- a/pkg/endpoints/health.go
+++ b/pkg/endpoints/health.go
@@ -38,9 +38,18 @@
 	h := &e.health
 	h.rate += failureWeight * (1 - h.rate)
 	h.last = now
-	pause := min(maxPause, firstPause<<min(h.broken, 4))
 	h.broken++
-	h.until = now.Add(pause)
+	h.until = now.Add(h.pause())
+}
+
+// pause is how long the endpoint is avoided after its newest transport failure.
+func (h *health) pause() time.Duration { return min(maxPause, firstPause<<min(h.broken-1, 4)) }
+
+// tried keeps others away from an endpoint while one request finds out whether it is back.
+func (h *health) tried(now time.Time) {
+	if h.broken > 0 {
+		h.until = now.Add(h.pause())
+	}
 }
 
 // Succeeded records an answer that wasn't a failure.
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/medlarsill/medlarsill/pkg/rendezvous"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
 )
 
@@ -76,6 +77,22 @@
 	return time.Duration(lostIntervals*turns) * Interval
 }
 
+// Rank is this instance's place among those that are heard, by a hash of their
+// ids; 0 is the first. An instance that hears nobody is the first.
+func (n *Node) Rank() int {
+	silence := n.Silence()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	own := rendezvous.Key(n.ID)
+	rank := 0
+	for id, p := range n.peers {
+		if n.Now().Sub(p.heard) <= silence && rendezvous.Key(id) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // HeardWithin tells whether a peer was heard in a time before now.
 func (n *Node) HeardWithin(id string, d time.Duration) bool {
 	n.mu.Lock()
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -73,7 +73,10 @@
 	Self string
 	// Duration is how long a lease lasts without a renewal. All candidates use the same.
 	Duration time.Duration
-	Rand     *rand.Rand
+	// Poll is how often a process that doesn't hold the lease reads it; 0 means
+	// once in a duration.
+	Poll time.Duration
+	Rand *rand.Rand
 	// WriteID returns a new unique string at each call.
 	WriteID func() string
 }
@@ -146,9 +149,10 @@
 	}
 }
 
-// lapsed tells whether the lease is free: given up, never held, or unchanged for its duration.
+// lapsed tells whether the lease is free: given up, never held, held last by
+// this very process, or unchanged for its duration.
 func (m *Machine) lapsed(now time.Time) bool {
-	return m.seen.Version == 0 || m.seen.Released || now.Sub(m.seenAt) >= m.Duration
+	return m.seen.Version == 0 || m.seen.Released || m.seen.Holder == m.Self || now.Sub(m.seenAt) >= m.Duration
 }
 
 func (m *Machine) jitter() time.Duration {
@@ -245,6 +249,9 @@
 	if m.seen.Version == 0 || m.seen.Released {
 		return m.jitter()
 	}
+	if m.Poll > 0 {
+		return m.Poll
+	}
 	return m.Duration + m.jitter()
 }
 
--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -125,9 +125,10 @@
 	demand := p.Load.Engines(s)
 	state.unused = state.unused && demand == 0
 	if state.unused {
-		demand = max(state.demand, firstShare*float64(p.registered(s.Name)))
+		state.demand = max(state.demand, firstShare*float64(p.registered(s.Name)))
+	} else {
+		state.follow(demand, now)
 	}
-	state.follow(demand, now)
 	present := p.present(s.Name)
 	want := Plan(Observation{Service: s.Name, Scaling: s.Scaling, Present: present, Refused: state.refused, Demand: state.demand, Now: now})
 	for _, dc := range s.Scaling.DataCentres() {
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -171,7 +171,7 @@
 	if !ok {
 		return nil
 	}
-	c.endpoint.Begin(c.uncached)
+	c.endpoint.Begin(c.uncached, now)
 	return &Placement{Endpoint: c.endpoint, Uncached: c.uncached, Expected: c.start, scheduler: s}
 }
 
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -14,9 +14,11 @@
 // Times of connections.
 const (
 	// dialTimeout bounds the opening of a connection; a healthy one takes milliseconds.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 150 * time.Millisecond
 	// userTimeout is how long sent bytes may stay without acknowledgement.
-	userTimeout = 1500 * time.Millisecond
+	userTimeout = 700 * time.Millisecond
+	// keepAlivePeriod is the silence after which the kernel asks whether the peer lives.
+	keepAlivePeriod = time.Second
 	// defaultKeep is how long an idle connection is kept if the endpoint doesn't say.
 	defaultKeep = 4 * time.Second
 	// keepShare is the share of the endpoint's idle timeout after which a connection isn't used again.
@@ -75,7 +77,7 @@
 
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: userTimeout, Interval: userTimeout / 2, Count: 2,
+		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2,
 	}}
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
