--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -20,6 +20,8 @@
 	// repeatAfter is the time beyond the boot after which an order that shows no
 	// instances is given again.
 	repeatAfter = 3 * time.Second
+	// settleTime is how long a new holder keeps the on-demand instances that it found.
+	settleTime = 10 * time.Second
 	// probeInterval is the time between two orders while the platform refuses them.
 	probeInterval = time.Second
 	// releaseAfter is how long fewer instances must be wanted before some are given up.
@@ -75,7 +77,11 @@
 	demand float64
 	at     time.Time
 	// unused is true until the first request ever.
-	unused  bool
+	unused bool
+	// found holds the instances that were there at the first start.
+	found map[string]bool
+	// since is when this process began to plan for the service.
+	since   time.Time
 	ordered map[Place]order
 	refused map[Place]time.Time
 	// seen holds how many instances were last present.
@@ -119,13 +125,13 @@
 	now := p.Now()
 	state, ok := p.services[s.Name]
 	if !ok {
-		state = &service{unused: p.FirstStart, ordered: make(map[Place]order), refused: make(map[Place]time.Time), surplus: make(map[Place]time.Time), seen: make(map[Place]int)}
+		state = &service{unused: p.FirstStart, found: make(map[string]bool), since: now, ordered: make(map[Place]order), refused: make(map[Place]time.Time), surplus: make(map[Place]time.Time), seen: make(map[Place]int)}
 		p.services[s.Name] = state
 	}
 	demand := p.Load.Engines(s)
 	state.unused = state.unused && demand == 0
 	if state.unused {
-		state.demand = max(state.demand, firstShare*float64(p.registered(s.Name)))
+		state.demand = firstShare * float64(p.find(s.Name, state))
 	} else {
 		state.follow(demand, now)
 	}
@@ -150,15 +156,15 @@
 	return out
 }
 
-// registered counts the instances of a service, also those that are leaving.
-func (p *Planner) registered(name string) int {
-	n := 0
+// find notes the on-demand instances that were there at the first start, and
+// returns how many there have been so far.
+func (p *Planner) find(name string, s *service) int {
 	for _, e := range p.Endpoints.All() {
 		if e.Service == name && !e.Info().Reclaimable {
-			n++
+			s.found[e.ID] = true
 		}
 	}
-	return n
+	return len(s.found)
 }
 
 // follow smooths the demand.
@@ -190,16 +196,20 @@
 	case wanted > last.count || missing:
 		delete(s.surplus, place)
 		return wanted, !s.recently(place, now)
-	case wanted < last.count && have > wanted && (place.Reclaimable || !s.scarce(now)):
+	case wanted < last.count && have > wanted && (place.Reclaimable || s.plenty(now)):
 		return s.release(place, want, present, now)
 	}
 	delete(s.surplus, place)
 	return 0, false
 }
 
-// scarce tells whether reclaimable instances were refused a short while ago.
-func (s *service) scarce(now time.Time) bool {
-	return Observation{Refused: s.refused, Now: now}.scarce()
+// plenty tells whether reclaimable instances are surely to be had: a new holder
+// of the duty doesn't know yet whether they were refused.
+func (s *service) plenty(now time.Time) bool {
+	if s.unused {
+		return true
+	}
+	return now.Sub(s.since) >= settleTime && !Observation{Refused: s.refused, Now: now}.scarce()
 }
 
 // recently tells whether the platform has just refused an order for reclaimable
