--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -40,8 +40,8 @@
 	})
 	calls := platform.NewCloud(p.cfg.CloudAPI, p.cfg.ID, client)
 	p.reporter = &usage.Reporter{Ledger: p.usage, Store: p.store, Lease: p.duty, Platform: calls, Log: p.log}
-	p.planner = &scaling.Planner{
+	p.planner = scaling.NewPlanner(scaling.Options{
 		Config: p.config, Endpoints: p.table, Load: p.meter, Lease: p.duty, Platform: calls, Log: p.log, Now: time.Now,
 		FirstStart: p.cfg.FirstStart,
-	}
+	})
 }
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -87,7 +87,7 @@
 	p.store = platform.NewStore(cfg.ObjectAPI, client)
 	p.config = &routing.Follower{Store: p.store, Prefix: platform.ConfigPrefix, Newest: platform.IsConfig, Decode: platform.DecodeConfig, Log: log, Now: time.Now,
 		Changed: func(t *routing.Table) { p.book.Open(t.Workspaces) }}
-	p.table = endpoints.NewTable(func() { p.scheduler.Changed() })
+	p.table = endpoints.NewTable(p.endpointsChanged)
 	p.follower = &endpoints.Follower{Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Log: log, Now: time.Now}
 	p.scheduler = schedule.New(p.table, places, time.Now)
 	p.joinPeers()
@@ -102,6 +102,12 @@
 	return p
 }
 
+// endpointsChanged places what waits, and plans the capacity anew.
+func (p *process) endpointsChanged() {
+	p.scheduler.Changed()
+	p.planner.Wake()
+}
+
 // places is the number of requests that an endpoint runs at once.
 func places(e *endpoints.Endpoint) int { return e.Info().Slots }
 
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -133,7 +133,7 @@
 		return m.write(now, m.fence, false)
 	case !candidate || !m.lapsed(now):
 		return Action{Kind: Read}
-	case !m.lapseSeen && m.seen.Version != 0:
+	case !m.lapseSeen && m.seen.Version != 0 && m.seen.Holder != m.Self:
 		m.lapseSeen = true
 		delay := m.jitter()
 		m.due = now.Add(delay)
@@ -249,6 +249,9 @@
 	if m.seen.Version == 0 || m.seen.Released {
 		return m.jitter()
 	}
+	if m.seen.Holder == m.Self {
+		return 0
+	}
 	if m.Poll > 0 {
 		return m.Poll
 	}
--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -9,7 +9,6 @@
 	"github.com/medlarsill/medlarsill/pkg/cloud"
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/routing"
-	"github.com/medlarsill/medlarsill/pkg/sleep"
 )
 
 const (
@@ -20,6 +19,9 @@
 	// repeatAfter is the time beyond the boot after which an order that shows no
 	// instances is given again.
 	repeatAfter = 3 * time.Second
+	// findTime is how long no further instance must be found at the first start
+	// before some are given up: they register within a heartbeat of each other.
+	findTime = 1300 * time.Millisecond
 	// settleTime is how long a new holder keeps the on-demand instances that it found.
 	settleTime = 10 * time.Second
 	// probeInterval is the time between two orders while the platform refuses them.
@@ -56,8 +58,8 @@
 	Current() *routing.Table
 }
 
-// Planner carries out the duty of ordering capacity.
-type Planner struct {
+// Options holds what a planner is made of. All fields but FirstStart are needed.
+type Options struct {
 	Config    Config
 	Endpoints *endpoints.Table
 	Load      Load
@@ -67,7 +69,12 @@
 	Now       func() time.Time
 	// FirstStart tells that no work was under way when this process started.
 	FirstStart bool
+}
 
+// Planner carries out the duty of ordering capacity.
+type Planner struct {
+	Options
+	wake     chan struct{}
 	fence    uint64
 	services map[string]*service
 }
@@ -79,7 +86,8 @@
 	// unused is true until the first request ever.
 	unused bool
 	// found holds the instances that were there at the first start.
-	found map[string]bool
+	found   map[string]bool
+	foundAt time.Time
 	// since is when this process began to plan for the service.
 	since   time.Time
 	ordered map[Place]order
@@ -95,9 +103,29 @@
 	at    time.Time
 }
 
+// NewPlanner returns a planner; Wake makes it plan at once.
+func NewPlanner(o Options) *Planner {
+	return &Planner{Options: o, wake: make(chan struct{}, 1)}
+}
+
+// Wake makes the planner plan at once, after a change of the endpoints.
+func (p *Planner) Wake() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run orders capacity, while this process holds the duty, until the context ends.
 func (p *Planner) Run(ctx context.Context) error {
-	for sleep.For(ctx, stepInterval) {
+	for ctx.Err() == nil {
+		t := time.NewTimer(stepInterval)
+		select {
+		case <-ctx.Done():
+		case <-p.wake:
+		case <-t.C:
+		}
+		t.Stop()
 		p.step(ctx)
 	}
 	return nil
@@ -135,6 +163,16 @@
 	} else {
 		state.follow(demand, now)
 	}
+	refusals := len(state.refused)
+	p.give(ctx, s, state, now)
+	if len(state.refused) > refusals {
+		// What was refused is made up for at once.
+		p.give(ctx, s, state, now)
+	}
+}
+
+// give plans once and gives the orders that are due.
+func (p *Planner) give(ctx context.Context, s *routing.Service, state *service, now time.Time) {
 	present := p.present(s.Name)
 	want := Plan(Observation{Service: s.Name, Scaling: s.Scaling, Present: present, Refused: state.refused, Demand: state.demand, Now: now})
 	for _, dc := range s.Scaling.DataCentres() {
@@ -161,6 +199,9 @@
 func (p *Planner) find(name string, s *service) int {
 	for _, e := range p.Endpoints.All() {
 		if e.Service == name && !e.Info().Reclaimable {
+			if !s.found[e.ID] {
+				s.foundAt = p.Now()
+			}
 			s.found[e.ID] = true
 		}
 	}
@@ -207,7 +248,7 @@
 // of the duty doesn't know yet whether they were refused.
 func (s *service) plenty(now time.Time) bool {
 	if s.unused {
-		return true
+		return now.Sub(s.foundAt) >= findTime
 	}
 	return now.Sub(s.since) >= settleTime && !Observation{Refused: s.refused, Now: now}.scarce()
 }
--- a/pkg/schedule/choose.go
+++ b/pkg/schedule/choose.go
@@ -28,36 +28,43 @@
 }
 
 // choose returns the endpoint with a free place at which the answer is
-// expected to begin first.
+// expected to begin first. Endpoints that couldn't be reached lately are taken
+// only where there are no others.
 func choose(list []*endpoints.Endpoint, d Demand, places func(*endpoints.Endpoint) int, now time.Time) (candidate, bool) {
 	home := home(list, d)
-	best := candidate{}
-	var fallback candidate
+	var best, last candidate
+	sound := false
 	for _, e := range list {
 		if d.Avoid[e.ID] {
 			continue
 		}
+		paused := e.Paused(now)
+		sound = sound || !paused
 		total := e.Total()
 		if n := places(e); n > 0 && total.Running >= n {
 			continue
 		}
 		c := weigh(e, total, d, e == home)
-		if e.Paused(now) {
-			if fallback.endpoint == nil || c.cost < fallback.cost {
-				fallback = c
-			}
-			continue
-		}
-		if best.endpoint == nil || c.cost < best.cost {
-			best = c
+		if paused {
+			last = cheaper(last, c)
+		} else {
+			best = cheaper(best, c)
 		}
 	}
-	if best.endpoint == nil {
-		best = fallback
+	if !sound {
+		best = last
 	}
 	return best, best.endpoint != nil
 }
 
+// cheaper returns the candidate of the lower cost; the first may be none.
+func cheaper(a, b candidate) candidate {
+	if a.endpoint == nil || b.cost < a.cost {
+		return b
+	}
+	return a
+}
+
 // weigh works out what the request would meet at an endpoint.
 func weigh(e *endpoints.Endpoint, total endpoints.Load, d Demand, home bool) candidate {
 	c := candidate{endpoint: e, uncached: d.Prompt}
