--- a/pkg/endpoints/follow.go
+++ b/pkg/endpoints/follow.go
@@ -53,7 +53,7 @@
 	f.Synced()
 	first := true
 	for ctx.Err() == nil {
-		changes, err := f.Store.Watch(ctx, f.Prefix, f.at)
+		changes, err := f.Store.Watch(ctx, f.Prefix, f.position())
 		if ctx.Err() != nil {
 			break
 		}
@@ -74,6 +74,16 @@
 	return nil
 }
 
+// position is where the next watch goes on. After a failed call it is the
+// start: a full list is answered at once, so that the store's return is noticed
+// before the next change.
+func (f *Follower) position() uint64 {
+	if f.down {
+		return 0
+	}
+	return f.at
+}
+
 func (f *Follower) failed(ctx context.Context, err error) {
 	if !f.down {
 		f.Log.Warn("endpoint list lost", "error", err.Error(), "version", f.at)
