--- a/cmd/medlarsill-load/main.go
+++ b/cmd/medlarsill-load/main.go
@@ -47,7 +47,9 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
+	if _, err := flags.Parse(&o); flags.WroteHelp(err) {
+		return
+	} else if err != nil {
 		os.Exit(exitSettings)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- a/cmd/medlarsill-report/main.go
+++ b/cmd/medlarsill-report/main.go
@@ -34,7 +34,9 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
+	if _, err := flags.Parse(&o); flags.WroteHelp(err) {
+		return
+	} else if err != nil {
 		os.Exit(exitSettings)
 	}
 	if err := write(&o); err != nil {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -150,7 +150,7 @@
 
 func (r *run) loop(ctx context.Context) error {
 	for !r.asm.Done() {
-		if r.failures >= r.d.maxAttempts() {
+		if r.failures >= r.d.attemptLimit() {
 			return r.giveUp(nil)
 		}
 		t, err := r.target(ctx)
@@ -221,7 +221,7 @@
 	return r.d.Config.Fresh() && place.Recheck(r.d.Config.Current(), r.job.Workspace, t.decision.Endpoint)
 }
 
-func (d *Dispatcher) maxAttempts() int {
+func (d *Dispatcher) attemptLimit() int {
 	if d.MaxAttempts == 0 {
 		return DefaultMaxAttempts
 	}
