--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -24,6 +24,9 @@
 	// lateShare is the part of a full account that is kept for requests that can
 	// still be on time.
 	lateShare = 0.3
+	// firstSpan is the time for which a new account may spend its equal part of
+	// the rate before its peers are heard.
+	firstSpan = 500 * time.Millisecond
 	// heardPerTurn is the number of peers that are heard in one turn at most.
 	heardPerTurn = 8
 	// spread is the part of the saved up limit that all instances together may
@@ -163,6 +166,9 @@
 		a.limit = *w
 		a.level = min(a.level, b.capacity(a))
 	}
+	if !ok {
+		a.spendable = w.Rate * firstSpan.Seconds() / float64(max(1, b.Members()))
+	}
 	return a
 }
 
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -62,7 +62,7 @@
 	ample := max(float64(minTotal), o.Demand*(1+spareShare))
 	each := int(math.Ceil(ample / float64(max(1, len(centres)-1))))
 	scarce := o.scarce()
-	sure := 0
+	sure, largest := 0, 0
 	for _, dc := range centres {
 		spot := Place{DataCentre: dc, Reclaimable: true}
 		n := min(max(each, s.Min), s.Max)
@@ -72,6 +72,11 @@
 			n = min(n, o.Present[spot])
 		}
 		sure += n
+		largest = max(largest, n)
+	}
+	if scarce {
+		// The next reclaim takes another data centre's, sooner than others boot.
+		sure -= largest
 	}
 	return fill(want, centres, s, total-sure)
 }
