--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -75,11 +75,13 @@
 	reporter  *usage.Reporter
 	planner   *scaling.Planner
 	stopping  atomic.Bool
+	// stopAsked closes when a planned stop is asked for.
+	stopAsked chan struct{}
 }
 
 func newProcess(cfg settings.Gateway, file string, log *slog.Logger) *process {
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
-	p := &process{cfg: cfg, file: file, log: log, metrics: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now)}
+	p := &process{cfg: cfg, file: file, log: log, metrics: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now), stopAsked: make(chan struct{})}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: storeConns, IdleConnTimeout: storeIdle,
--- /dev/null
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -0,0 +1,259 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/medlarsill/medlarsill/pkg/logging"
+	"github.com/medlarsill/medlarsill/pkg/settings"
+	"github.com/medlarsill/medlarsill/platform/platformtest"
+)
+
+// patience bounds the waits of these tests; no verdict depends on it in health.
+const patience = 20 * time.Second
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().(*net.UDPAddr).Port
+}
+
+// site is the platform with its endpoints and a few gateway processes.
+type site struct {
+	g         *WithT
+	store     *platformtest.Store
+	cloud     *platformtest.Cloud
+	endpoints []*platformtest.Endpoint
+	lines     *lines
+}
+
+// lines collects the log of all processes.
+type lines struct {
+	mu  sync.Mutex
+	all strings.Builder
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.String()
+}
+
+func configText(version int) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[
+	 {"name":"r-%d","host":"a.example","pathPrefix":"/v%d/","kind":"idempotent","timeoutMs":5000,"targetLatencyMs":500,"service":"s1","maxAttempts":2},
+	 {"name":"r-s","host":"a.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":500,"service":"s1","maxAttempts":2,"streamResume":true}],
+	 "services":[{"name":"s1","maxConns":100,"engine":{"slots":8,"kvTokens":1000,"stride":5},"scaling":{"min":1,"max":4,"bootS":1,"spotPrice":0.2,"zonePrices":{"dc-a":1,"dc-b":0.8}}}],
+	 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+	 "tenants":[{"name":"w1","apiKeys":["k1"],"ratePerS":100000,"burst":100000}]}`, version, version, version)
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{g: NewWithT(t), store: platformtest.NewStore(), cloud: platformtest.NewCloud(), lines: &lines{}}
+	t.Cleanup(s.store.Close)
+	t.Cleanup(s.cloud.Close)
+	for i := range 2 {
+		e := platformtest.NewEndpoint(fmt.Sprintf("i-%d", i))
+		t.Cleanup(e.Close)
+		s.endpoints = append(s.endpoints, e)
+		s.store.Put("servers", e.ID, e.Registration("s1", "dc-a", "ready"))
+	}
+	s.store.Put("servers", "i-odd", `{"state":7}`)
+	return s
+}
+
+// gatewayProcess is one gateway of a site.
+type gatewayProcess struct {
+	*process
+	done chan error
+}
+
+func (s *site) start(t *testing.T, id string) *gatewayProcess {
+	t.Helper()
+	cfg := settings.Gateway{
+		ID: id, DataCentre: "dc-a", Listen: freeAddr(t), ReadyListen: freeAddr(t), MetricsListen: freeAddr(t),
+		IP: "127.0.0.1", PeerPort: freePort(t), ObjectAPI: s.store.Addr(), CloudAPI: s.cloud.Addr(), Duties: []string{"usage", "autoscale"},
+		MemoryMB: 256, MaxDescriptors: 1000, StopGraceS: 3, ConfigInForceMS: 2000, LeaseMS: 900, RetryShare: 0.2, RetryWindowS: 10, RetryExtra: 50,
+		AllowanceWindowS: 8, AllowanceOver: 0.1, UsageWindowS: 1, UsageLateS: 10, PrefixReuseS: 10, Log: settings.Log{Format: "json", Level: "info"},
+	}
+	out := logging.NewAsync(s.lines)
+	p := &gatewayProcess{process: newProcess(cfg, "", slog.New(slog.NewJSONHandler(out, nil))), done: make(chan error, 1)}
+	go func() { p.done <- p.run(out) }()
+	return p
+}
+
+// stop ends a process as a signal does.
+func (p *gatewayProcess) stop(g *WithT) {
+	p.requestStop()
+	var err error
+	g.Eventually(p.done, patience).Should(Receive(&err))
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func (p *gatewayProcess) get(path string) (int, string) {
+	req, err := http.NewRequest("GET", "http://"+p.cfg.Listen+path, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = "a.example"
+	req.Header = http.Header{"X-Request-Id": {"9c41"}, "Authorization": {"Token k1"}, "X-Deadline-Ms": {"5000"}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+func (p *gatewayProcess) status(path string) func() int {
+	return func() int {
+		status, _ := p.get(path)
+		return status
+	}
+}
+
+func (p *gatewayProcess) readiness() int {
+	resp, err := http.Get("http://" + p.cfg.ReadyListen + "/v1/readyz")
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// TestAProcessServesAndCarriesOutTheDuties runs one process from its start
+// without configuration to its planned stop.
+func TestAProcessServesAndCarriesOutTheDuties(t *testing.T) {
+	s := newSite(t)
+	g := s.g
+	p := s.start(t, "gw-1")
+	g.Eventually(p.status("/v1/"), patience).Should(Equal(503), "without a configuration nothing is known")
+	g.Expect(p.readiness()).To(Equal(503))
+
+	s.store.Put("config", "main", configText(1))
+	g.Eventually(p.readiness, patience).Should(Equal(200))
+	g.Eventually(p.status("/v1/"), patience).Should(Equal(200))
+	status, body := p.get("/s/stream")
+	g.Expect(status).To(Equal(200))
+	g.Expect(body).To(HaveSuffix("id: 6\ndata: event 6\n\n"))
+
+	s.store.Put("config", "main", configText(2))
+	g.Eventually(p.status("/v2/"), patience).Should(Equal(200))
+	g.Expect(p.status("/v1/")()).To(Equal(404))
+
+	g.Eventually(s.cloud.Orders, patience).ShouldNot(BeEmpty())
+	g.Expect(s.cloud.Orders()[0].Holder).To(Equal("gw-1"))
+	g.Eventually(func() int { return counted(s.cloud.Reports(), "w1") }, patience).Should(BeNumerically(">=", 3))
+	p.stop(g)
+	g.Expect(s.lines.String()).To(And(ContainSubstring(`"msg":"started"`), ContainSubstring(`"msg":"stopping"`), ContainSubstring(`"msg":"registration ignored"`)))
+}
+
+// counted sums the reported requests of a workspace, each window once.
+func counted(reports []platformtest.Report, workspace string) int {
+	windows := map[int64]int{}
+	for _, r := range reports {
+		windows[r.Window] = r.Counts[workspace]
+	}
+	n := 0
+	for _, c := range windows {
+		n += c
+	}
+	return n
+}
+
+// TestOneProcessHoldsTheDutiesAndAnotherTakesOver checks the order of the
+// fencing numbers over a hand-over.
+func TestOneProcessHoldsTheDutiesAndAnotherTakesOver(t *testing.T) {
+	s := newSite(t)
+	g := s.g
+	s.store.Put("config", "main", configText(1))
+	all := map[string]*gatewayProcess{"gw-1": s.start(t, "gw-1"), "gw-2": s.start(t, "gw-2")}
+	g.Eventually(s.cloud.Reports, patience).ShouldNot(BeEmpty())
+	first := s.cloud.Reports()[0].Holder
+	all[first].stop(g)
+	delete(all, first)
+	g.Eventually(func() string {
+		reports := s.cloud.Reports()
+		return reports[len(reports)-1].Holder
+	}, patience).ShouldNot(Equal(first))
+	fence := uint64(0)
+	counts := map[int64]string{}
+	for _, r := range s.cloud.Reports() {
+		g.Expect(r.Fence).To(BeNumerically(">=", fence))
+		fence = r.Fence
+		text := fmt.Sprint(r.Counts)
+		g.Expect(counts[r.Window]).To(BeElementOf("", text), "a window has one count")
+		counts[r.Window] = text
+	}
+	for _, p := range all {
+		p.stop(g)
+	}
+}
+
+func TestAnOutageOfTheStoreTakesNothingAway(t *testing.T) {
+	s := newSite(t)
+	g := s.g
+	s.store.Put("config", "main", configText(1))
+	p := s.start(t, "gw-1")
+	g.Eventually(p.status("/v1/"), patience).Should(Equal(200))
+	for _, mode := range []platformtest.Mode{platformtest.Busy, platformtest.Reset} {
+		s.store.SetMode(mode)
+		s.store.Forget()
+		g.Eventually(s.lines.String, patience).Should(ContainSubstring(`"msg":"configuration lost"`))
+		g.Expect(p.status("/v1/")()).To(Equal(200))
+		g.Expect(p.readiness()).To(Equal(200))
+		s.store.SetMode(platformtest.Up)
+		g.Eventually(s.lines.String, patience).Should(ContainSubstring(`"msg":"configuration regained"`))
+	}
+	s.store.Put("config", "main", configText(3))
+	g.Eventually(p.status("/v3/"), patience).Should(Equal(200))
+	p.stop(g)
+}
+
+func TestSettingsAreReadAgainOnRequest(t *testing.T) {
+	g := NewWithT(t)
+	cfg := settings.Gateway{ID: "gw-1", IP: "127.0.0.1", PeerPort: 7600, MemoryMB: 256, UsageWindowS: 5}
+	data, err := json.Marshal(cfg)
+	g.Expect(err).NotTo(HaveOccurred())
+	file := filepath.Join(t.TempDir(), "settings.json")
+	g.Expect(os.WriteFile(file, data, 0o600)).To(Succeed())
+	var out lines
+	p := newProcess(cfg, file, slog.New(slog.NewJSONHandler(&out, nil)))
+	p.reload()
+	g.Expect(out.String()).To(ContainSubstring("settings not reloaded"), "the file lacks what is needed")
+	g.Expect(out.String()).To(ContainSubstring("data_centre"))
+}
--- a/cmd/medlarsill-gateway/stop.go
+++ b/cmd/medlarsill-gateway/stop.go
@@ -40,7 +40,10 @@
 func (p *process) stopOnSignal(ctx context.Context) error {
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-p.stopAsked:
+	}
 	p.stopping.Store(true)
 	p.gateway.Stop()
 	p.log.Info("stopping", "active", p.gateway.Active())
@@ -49,6 +52,9 @@
 	return nil
 }
 
+// requestStop asks for a planned stop, as a signal does.
+func (p *process) requestStop() { close(p.stopAsked) }
+
 // drain waits for the end of the requests under way. Until the balancer sends
 // callers elsewhere the listener stays open; then kept connections are closed,
 // as a request that came late in the grace could not be finished in it.
--- /dev/null
+++ b/pkg/gossip/gossip_test.go
@@ -0,0 +1,189 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/medlarsill/medlarsill/pkg/objectstore/memstore"
+)
+
+var discard = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func address(i int) netip.AddrPort { return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7600", i)) }
+
+func newNode(id string, now *time.Time) *Node {
+	return NewNode(Options{ID: id, Boot: 1, Listen: address(1), Fill: func(*Message, bool) {}, Heard: func(Message) {}, Log: discard, Now: func() time.Time { return *now }})
+}
+
+func TestAMessageSurvivesTheWire(t *testing.T) {
+	g := NewWithT(t)
+	in := Message{
+		ID: "a", Boot: 7, Seq: 3, WallMS: 1700000000123, Config: 9,
+		Load: map[string]Load{"i-1": {Running: 2, Prompt: 900}}, Totals: map[string]float64{"w1": 12345},
+		Asked: map[string]float64{"s1": 1.5}, Usage: map[int64]map[string]int{4: {"w1": 2}},
+	}
+	data, err := encode(in)
+	g.Expect(err).NotTo(HaveOccurred())
+	out, err := decode(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(Equal(in))
+}
+
+func FuzzDecode(f *testing.F) {
+	data, _ := encode(Message{ID: "a", Boot: 1})
+	f.Add(data)
+	f.Add([]byte{0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := decode(data)
+		if err == nil && (m.ID == "" || m.Boot == 0) {
+			t.Fatal("a message without a sender was taken")
+		}
+	})
+}
+
+func TestOnlyNewerMessagesOfAStartCount(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	n := newNode("a", &now)
+	g.Expect(n.take(Message{ID: "b", Boot: 5, Seq: 2}, address(2))).To(BeTrue())
+	g.Expect(n.take(Message{ID: "b", Boot: 5, Seq: 2}, address(2))).To(BeFalse(), "a repeat")
+	g.Expect(n.take(Message{ID: "b", Boot: 5, Seq: 1}, address(2))).To(BeFalse(), "out of order")
+	g.Expect(n.take(Message{ID: "b", Boot: 4, Seq: 9}, address(2))).To(BeFalse(), "of an earlier start")
+	g.Expect(n.take(Message{ID: "b", Boot: 6, Seq: 1}, address(3))).To(BeTrue(), "of a later start, at another address")
+	g.Expect(n.take(Message{ID: "a", Boot: 9, Seq: 1}, address(1))).To(BeFalse(), "its own")
+	g.Expect(n.Members()).To(Equal(2))
+}
+
+func TestMembersAreForgottenOnlyIfSilentAndNotRegistered(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	n := newNode("a", &now)
+	n.SetMembers(map[string]netip.AddrPort{"a": address(1), "b": address(2), "c": address(3)})
+	g.Expect(n.Members()).To(Equal(3))
+	now = now.Add(time.Hour)
+	n.take(Message{ID: "b", Boot: 1, Seq: 1}, address(2))
+	n.SetMembers(map[string]netip.AddrPort{"a": address(1), "c": address(3)})
+	g.Expect(n.Members()).To(Equal(3), "b was just heard, c is registered")
+	now = now.Add(time.Hour)
+	n.SetMembers(map[string]netip.AddrPort{"a": address(1), "c": address(3)})
+	g.Expect(n.Members()).To(Equal(2))
+}
+
+func TestPeersTakeTurns(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	n := newNode("a", &now)
+	list := map[string]netip.AddrPort{"a": address(1)}
+	for i := range 20 {
+		list[fmt.Sprint("p", i)] = address(10 + i)
+	}
+	n.SetMembers(list)
+	count := map[netip.AddrPort]int{}
+	for range 5 {
+		targets := n.targets()
+		g.Expect(targets).To(HaveLen(fanout))
+		for _, t := range targets {
+			count[t]++
+		}
+	}
+	g.Expect(count).To(HaveLen(20))
+	for _, times := range count {
+		g.Expect(times).To(Equal(2))
+	}
+}
+
+func TestRanksDiffer(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	names := []string{"a", "b", "c", "d"}
+	seen := map[int]bool{}
+	for _, name := range names {
+		n := newNode(name, &now)
+		for _, other := range names {
+			if other != name {
+				n.take(Message{ID: other, Boot: 1, Seq: 1}, address(2))
+			}
+		}
+		seen[n.Rank()] = true
+	}
+	g.Expect(seen).To(HaveLen(4))
+	alone := newNode("a", &now)
+	alone.SetMembers(map[string]netip.AddrPort{"b": address(2)})
+	g.Expect(alone.Rank()).To(BeZero(), "who hears nobody is the first")
+}
+
+func TestRegistryRegistersAndRemovesWhatIsGone(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	store := memstore.New()
+	ctx := context.Background()
+	_, err := store.Create(ctx, Prefix+"gone", []byte(`{"addr":"10.0.0.9:7600"}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = store.Create(ctx, Prefix+"odd", []byte(`nonsense`))
+	g.Expect(err).NotTo(HaveOccurred())
+	n := newNode("a", &now)
+	remover := false
+	r := &Registry{Store: store, Node: n, Log: discard, Now: func() time.Time { return now }, Remover: func() bool { return remover }, missing: make(map[string]time.Time)}
+	g.Expect(r.step(ctx)).To(Succeed())
+	g.Expect(n.Members()).To(Equal(2))
+	o, err := store.Get(ctx, Prefix+"a")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(o.Value).To(MatchJSON(`{"addr":"10.0.0.1:7600"}`))
+
+	now = now.Add(RemoveAfter)
+	g.Expect(r.step(ctx)).To(Succeed())
+	_, err = store.Get(ctx, Prefix+"gone")
+	g.Expect(err).NotTo(HaveOccurred(), "only the holder of the duties removes")
+	remover = true
+	g.Expect(r.step(ctx)).To(Succeed())
+	_, err = store.Get(ctx, Prefix+"gone")
+	g.Expect(err).To(HaveOccurred())
+}
+
+// TestNodesHearEachOther runs two nodes over loopback datagrams.
+func TestNodesHearEachOther(t *testing.T) {
+	g := NewWithT(t)
+	heard := make(chan Message, 1)
+	a, b := freePort(t), freePort(t)
+	start := func(id string, at netip.AddrPort, other netip.AddrPort, take func(Message)) func() {
+		n := NewNode(Options{ID: id, Boot: 1, Listen: at, Fill: func(m *Message, _ bool) { m.Config = 42 }, Heard: take, Log: discard, Now: time.Now})
+		n.SetMembers(map[string]netip.AddrPort{"other": other})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- n.Run(ctx) }()
+		return func() {
+			cancel()
+			g.Expect(<-done).To(Succeed())
+		}
+	}
+	stopA := start("a", a, b, func(Message) {})
+	stopB := start("b", b, a, func(m Message) {
+		select {
+		case heard <- m:
+		default:
+		}
+	})
+	m := <-heard
+	g.Expect(m.ID).To(Equal("a"))
+	g.Expect(m.Config).To(BeEquivalentTo(42))
+	stopA()
+	stopB()
+}
+
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
--- /dev/null
+++ b/pkg/lease/poll_test.go
@@ -0,0 +1,67 @@
+package lease
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func pollingMachine(self string) *Machine {
+	n := 0
+	return NewMachine(Config{
+		Self: self, Duration: 3 * time.Second, Poll: 800 * time.Millisecond, Rand: rand.New(rand.NewPCG(1, 2)),
+		WriteID: func() string { n++; return self + string(rune('0'+n)) },
+	})
+}
+
+func TestACandidatePollsOftenAndTakesALapsedLease(t *testing.T) {
+	g := NewWithT(t)
+	m := pollingMachine("b")
+	now := time.Unix(0, 0)
+	held := Stored{Record: Record{Holder: "a", Fence: 4, WriteID: "x"}, Version: 7}
+	start := now
+	for {
+		a := m.Next(now, true)
+		if a.Kind == Write {
+			g.Expect(a.Record.Fence).To(BeEquivalentTo(5))
+			g.Expect(a.Version).To(BeEquivalentTo(7))
+			break
+		}
+		if a.Kind == Read {
+			m.Saw(now, held)
+			continue
+		}
+		g.Expect(a.After).To(BeNumerically("<=", 800*time.Millisecond))
+		now = now.Add(a.After)
+	}
+	g.Expect(now.Sub(start)).To(BeNumerically(">=", 3*time.Second), "never before the lease has lapsed")
+	g.Expect(now.Sub(start)).To(BeNumerically("<", 5*time.Second))
+}
+
+// TestAHolderThatLostTheStoreTakesItsOwnLeaseAgain: the record is unchanged, so
+// nobody held the lease in between.
+func TestAHolderThatLostTheStoreTakesItsOwnLeaseAgain(t *testing.T) {
+	g := NewWithT(t)
+	m := pollingMachine("a")
+	now := time.Unix(0, 0)
+	m.Saw(now, Stored{})
+	a := m.Next(now.Add(time.Second), true)
+	g.Expect(a.Kind).To(Equal(Write))
+	now = now.Add(time.Second)
+	m.Wrote(now, Stored{Record: a.Record, Version: 1})
+	fence, _, ok := m.Held(now)
+	g.Expect(ok).To(BeTrue())
+
+	now = now.Add(20 * time.Second)
+	_, _, ok = m.Held(now)
+	g.Expect(ok).To(BeFalse())
+	m.Lost(now)
+	now = now.Add(2 * time.Second)
+	g.Expect(m.Next(now, true).Kind).To(Equal(Read))
+	m.Saw(now, Stored{Record: a.Record, Version: 1})
+	again := m.Next(now, true)
+	g.Expect(again.Kind).To(Equal(Write), "it needn't wait")
+	g.Expect(again.Record.Fence).To(Equal(fence + 1))
+}
--- /dev/null
+++ b/pkg/scaling/scaling_test.go
@@ -0,0 +1,263 @@
+package scaling
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/medlarsill/medlarsill/pkg/cloud"
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/routing"
+	_ "github.com/medlarsill/medlarsill/pkg/testseed"
+)
+
+func prices() *routing.Scaling {
+	return &routing.Scaling{
+		Min: 1, Max: 6, Boot: 4 * time.Second, ReclaimablePrice: 0.22,
+		Prices: map[string]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9},
+	}
+}
+
+func spot(dc string) Place   { return Place{DataCentre: dc, Reclaimable: true} }
+func steady(dc string) Place { return Place{DataCentre: dc} }
+
+// TestTheLossOfADataCentreLeavesEnough is a property of the plan on a day on
+// which reclaimable instances can be had.
+func TestTheLossOfADataCentreLeavesEnough(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demand := rapid.Float64Range(0, 17).Draw(t, "demand")
+		want := Plan(Observation{Scaling: prices(), Demand: demand, Now: time.Unix(0, 0)})
+		total, largest := 0, 0
+		for place, n := range want {
+			if !place.Reclaimable && n > 0 {
+				t.Fatalf("on-demand instances while reclaimable ones are to be had: %v", want)
+			}
+			if place.Reclaimable && (n < 1 || n > 6) {
+				t.Fatalf("%v wants %d, beyond the limits", place, n)
+			}
+			total += n
+			largest = max(largest, n)
+		}
+		if float64(total-largest) < demand {
+			t.Fatalf("%d of %d are left for a demand of %.1f", total-largest, total, demand)
+		}
+	})
+}
+
+func TestOnDemandOnesMakeUpForWhatIsScarce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	want := Plan(Observation{
+		Scaling: prices(), Demand: 7, Now: now,
+		Present: map[Place]int{spot("a"): 3, spot("b"): 1}, Refused: map[Place]time.Time{spot("c"): now.Add(-time.Second)},
+	})
+	g.Expect(want[steady("b")]).To(Equal(6), "the cheapest first: 7 are needed, of which only one may be counted on")
+	g.Expect(want[steady("a")] + want[steady("c")] + want[steady("d")]).To(BeZero())
+	later := Plan(Observation{Scaling: prices(), Demand: 7, Now: now, Refused: map[Place]time.Time{spot("c"): now.Add(-refusedFor)}})
+	g.Expect(later[steady("b")]).To(BeZero())
+}
+
+func TestAPlanStaysWithinTheLimitsOfEachDataCentre(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	want := Plan(Observation{Scaling: prices(), Demand: 100, Now: now, Refused: map[Place]time.Time{spot("a"): now}})
+	for place, n := range want {
+		g.Expect(n).To(BeNumerically("<=", 6), fmt.Sprint(place))
+	}
+	g.Expect(Plan(Observation{Scaling: &routing.Scaling{}, Now: now})).To(BeEmpty())
+}
+
+func TestTheMeterTakesTheRateOfWhatIsAsked(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	m := NewMeter(func() time.Time { return now })
+	s := &routing.Service{Name: "s1"}
+	for i := range 41 {
+		now = now.Add(100 * time.Millisecond)
+		m.Heard("a/1", map[string]float64{"s1": float64(i) * 0.3})
+		m.Heard("b/1", map[string]float64{"s1": float64(i) * 0.1})
+	}
+	g.Expect(m.Engines(s)).To(BeNumerically("~", 4/busyShare, 0.5))
+	m.Heard("a/2", map[string]float64{"s1": 1000})
+	now = now.Add(rateSpan)
+	m.Heard("b/1", map[string]float64{"s1": 4})
+	g.Expect(m.Engines(s)).To(BeNumerically("<", 1), "a restarted instance's total is no demand by itself")
+}
+
+// market is a platform that boots what is ordered.
+type market struct {
+	table *endpoints.Table
+	want  map[Place]int
+	born  int
+	dry   bool
+	// orders counts the orders, refused the refused ones.
+	orders, refused int
+}
+
+func (m *market) Order(_ context.Context, _ uint64, o Order) error {
+	m.orders++
+	place := Place{DataCentre: o.DataCentre, Reclaimable: o.Reclaimable}
+	if o.Reclaimable && m.dry && o.Count > m.have(place) {
+		m.refused++
+		return cloud.ErrRefused
+	}
+	before := m.want[place]
+	m.want[place] = o.Count
+	for range o.Count - max(before, m.have(place)) {
+		time.AfterFunc(4*time.Second, func() { m.add(place) })
+	}
+	for range m.have(place) - o.Count {
+		m.drop(place)
+	}
+	return nil
+}
+
+func (m *market) add(p Place) {
+	m.born++
+	m.table.Put(endpoints.Info{ID: fmt.Sprintf("i-%d", m.born), Service: "s1", Addr: "10.0.0.1:80", DataCentre: p.DataCentre, Reclaimable: p.Reclaimable})
+}
+
+func (m *market) have(p Place) int {
+	n := 0
+	for _, e := range m.table.Service("s1") {
+		if e.DataCentre == p.DataCentre && e.Info().Reclaimable == p.Reclaimable {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *market) drop(p Place) {
+	for _, e := range m.table.Service("s1") {
+		if e.DataCentre == p.DataCentre && e.Info().Reclaimable == p.Reclaimable {
+			m.table.Remove(e.ID)
+			return
+		}
+	}
+}
+
+// reclaim takes all reclaimable instances of a data centre.
+func (m *market) reclaim(dc string) {
+	for m.have(spot(dc)) > 0 {
+		m.drop(spot(dc))
+	}
+	m.want[spot(dc)] = 0
+}
+
+func (m *market) total() int { return len(m.table.Service("s1")) }
+
+type steadyLoad struct{ engines float64 }
+
+func (l *steadyLoad) Engines(*routing.Service) float64 { return l.engines }
+
+type alwaysHeld struct{}
+
+func (alwaysHeld) Held() (uint64, bool) { return 1, true }
+func (alwaysHeld) Do(ctx context.Context, _ time.Duration, action func(context.Context, uint64) error) error {
+	return action(ctx, 1)
+}
+
+type config struct{ t *routing.Table }
+
+func (c config) Current() *routing.Table { return c.t }
+
+// plan runs a planner over a market with some on-demand instances.
+func plan(load *steadyLoad, first bool, body func(m *market)) {
+	var planner *Planner
+	m := &market{want: make(map[Place]int)}
+	m.table = endpoints.NewTable(func() { planner.Wake() })
+	planner = NewPlanner(Options{
+		Config: config{routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s1", Scaling: prices()}}})}, Endpoints: m.table,
+		Load: load, Lease: alwaysHeld{}, Platform: m, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now, FirstStart: first,
+	})
+	for _, dc := range []string{"a", "a", "a", "b", "b", "c", "c", "d", "d"} {
+		m.add(steady(dc))
+		m.want[steady(dc)]++
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- planner.Run(ctx) }()
+	body(m)
+	cancel()
+	<-done
+}
+
+func TestTheFirstStartSwapsToReclaimableOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		plan(&steadyLoad{}, true, func(m *market) {
+			time.Sleep(8 * time.Second)
+			on := 0
+			for _, dc := range []string{"a", "b", "c", "d"} {
+				on += m.have(steady(dc))
+				g.Expect(m.have(spot(dc))).To(BeNumerically(">=", 2))
+			}
+			g.Expect(on).To(BeZero())
+		})
+	})
+}
+
+func TestOnDemandOnesStayUntilOthersServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		load := &steadyLoad{engines: 6}
+		plan(load, false, func(m *market) {
+			for range 200 {
+				time.Sleep(100 * time.Millisecond)
+				g.Expect(m.total()).To(BeNumerically(">=", 6))
+			}
+			g.Expect(m.have(steady("c"))).To(BeZero(), "in the end the dear ones are given up")
+		})
+	})
+}
+
+// TestReclaimsInADryMarket has the reclaimable instances of all data centres go
+// one after the other while no more are to be had.
+func TestReclaimsInADryMarket(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		load := &steadyLoad{engines: 5}
+		plan(load, false, func(m *market) {
+			time.Sleep(30 * time.Second)
+			m.dry = true
+			for _, dc := range []string{"a", "b", "c", "d"} {
+				m.reclaim(dc)
+				time.Sleep(5 * time.Second)
+				g.Expect(m.total()).To(BeNumerically(">=", 4), "after "+dc)
+			}
+			g.Expect(m.refused).To(BeNumerically("<=", 30), "orders that are refused aren't repeated in haste")
+			m.dry = false
+			time.Sleep(30 * time.Second)
+			on := 0
+			for _, dc := range []string{"a", "b", "c", "d"} {
+				on += m.have(steady(dc))
+			}
+			g.Expect(on).To(BeZero(), "reclaimable ones take over again")
+			g.Expect(m.total()).To(BeNumerically(">=", 7))
+		})
+	})
+}
+
+// TestASteadyLoadNeedsFewOrders checks that the plan doesn't swing.
+func TestASteadyLoadNeedsFewOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		load := &steadyLoad{engines: 6}
+		plan(load, false, func(m *market) {
+			time.Sleep(30 * time.Second)
+			before := m.orders
+			for i := range 120 {
+				load.engines = 6 + 0.4*float64(i%2)
+				time.Sleep(500 * time.Millisecond)
+			}
+			g.Expect(m.orders - before).To(BeNumerically("<=", 4))
+		})
+	})
+}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -162,7 +162,7 @@
 	want := string(got)
 	for marker, text := range map[string]string{
 		"entry": Reference(ProgramEntry), "controller": Reference(ProgramController),
-		"admin": Reference(ProgramAdmin), "config": config.Reference,
+		"admin": Reference(ProgramAdmin), "gateway": Reference(ProgramGateway), "config": config.Reference,
 	} {
 		want = replaceBlock(t, want, marker, text)
 	}
--- /dev/null
+++ b/pkg/upstream/upstream_test.go
@@ -0,0 +1,263 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// server answers each request on a connection with the next of its answers.
+type server struct {
+	net.Listener
+	requests atomic.Int64
+	conns    atomic.Int64
+}
+
+// serve starts a server; answer writes the n-th answer, and returns false to
+// close the connection after it.
+func serve(t *testing.T, answer func(n int64, c net.Conn) bool) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &server{Listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if !answer(s.requests.Add(1), c) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *server) addr() string { return s.Addr().String() }
+
+func request() *http.Request {
+	return &http.Request{Method: "GET", Host: "a.example", URL: &url.URL{Scheme: "http", Host: "a.example", Opaque: "/x"}, Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1}
+}
+
+func any1(*http.Response) bool { return true }
+
+func exchange(p *Pool, addr string, own func(*http.Response) bool) (string, error) {
+	c, err := p.Get(context.Background(), addr)
+	if err != nil {
+		return "", err
+	}
+	resp, err := c.Do(request(), own)
+	if err != nil {
+		p.Put(addr, c, false)
+		return "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	p.Put(addr, c, err == nil)
+	return string(body), err
+}
+
+func TestAKeptConnectionIsUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(n int64, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		return true
+	})
+	p := NewPool(time.Now)
+	for i := 1; i <= 3; i++ {
+		body, err := exchange(p, s.addr(), any1)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(Equal(fmt.Sprint(i)))
+	}
+	g.Expect(s.conns.Load()).To(BeEquivalentTo(1))
+}
+
+// TestARequestIsNeverSentTwice kills kept connections as a request is sent on them.
+func TestARequestIsNeverSentTwice(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(n int64, c net.Conn) bool {
+		if n == 1 {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		return false // the request was read, and no answer comes
+	})
+	p := NewPool(time.Now)
+	_, err := exchange(p, s.addr(), any1)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = exchange(p, s.addr(), any1)
+	g.Expect(err).To(MatchError(ErrUnknown))
+	g.Expect(s.requests.Load()).To(BeEquivalentTo(2))
+}
+
+func TestAnUnreachableEndpointGotNothing(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	l.Close()
+	_, err = exchange(NewPool(time.Now), l.Addr().String(), any1)
+	g.Expect(err).To(MatchError(ErrUnsent))
+}
+
+func TestConnectionsThatCantBeTrusted(t *testing.T) {
+	for name, c := range map[string]struct{ first string }{
+		"the endpoint closes it":         {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nConnection: close\r\n\r\n1"},
+		"a second answer came":           {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n9"},
+		"bytes that are no answer":       {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1garbage"},
+		"kept for no time":               {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0, max=5\r\nContent-Length: 1\r\nConnection: close\r\n\r\n1"},
+		"an interim answer came before":  {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\n1"},
+		"the answer ends with its close": {"HTTP/1.1 200 OK\r\n\r\n1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(n int64, conn net.Conn) bool {
+				if n == 1 {
+					fmt.Fprint(conn, c.first)
+					return strings.Contains(c.first, "Content-Length")
+				}
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2")
+				return true
+			})
+			p := NewPool(time.Now)
+			body, err := exchange(p, s.addr(), any1)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(body).To(Equal("1"))
+			body, err = exchange(p, s.addr(), any1)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(body).To(Equal("2"))
+			g.Expect(s.conns.Load()).To(BeEquivalentTo(2))
+		})
+	}
+}
+
+func TestAnotherRequestsAnswerIsSkipped(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(n int64, c net.Conn) bool {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Of: other\r\nContent-Length: 5\r\n\r\nstray")
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Of: own\r\nContent-Length: 3\r\n\r\nown")
+		return true
+	})
+	own := func(r *http.Response) bool { return r.Header.Get("X-Of") == "own" }
+	p := NewPool(time.Now)
+	for range 2 {
+		body, err := exchange(p, s.addr(), own)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(Equal("own"))
+	}
+	g.Expect(s.conns.Load()).To(BeEquivalentTo(2), "the connection is not used again")
+}
+
+func TestATruncatedAnswerIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n123",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n123\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Le",
+	} {
+		s := serve(t, func(_ int64, c net.Conn) bool {
+			fmt.Fprint(c, text)
+			return false
+		})
+		_, err := exchange(NewPool(time.Now), s.addr(), any1)
+		g.Expect(err).To(HaveOccurred(), text)
+	}
+}
+
+func TestIdleConnectionsAreGivenUpBeforeTheEndpointDoes(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s := serve(t, func(_ int64, c net.Conn) bool {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	p := NewPool(func() time.Time { return now })
+	use := func() {
+		_, err := exchange(p, s.addr(), any1)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	use()
+	now = now.Add(6 * time.Second)
+	use()
+	g.Expect(s.conns.Load()).To(BeEquivalentTo(1))
+	now = now.Add(8 * time.Second)
+	use()
+	g.Expect(s.conns.Load()).To(BeEquivalentTo(2))
+	now = now.Add(8 * time.Second)
+	p.Sweep()
+	g.Expect(p.idle).To(BeEmpty())
+}
+
+func TestDropClosesTheIdleConnectionsOfAnAddress(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int64, c net.Conn) bool {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	p := NewPool(time.Now)
+	_, err := exchange(p, s.addr(), any1)
+	g.Expect(err).NotTo(HaveOccurred())
+	p.Drop(s.addr())
+	_, err = exchange(p, s.addr(), any1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.conns.Load()).To(BeEquivalentTo(2))
+}
+
+// TestAnEarlyAnswerToALongBody has the endpoint answer before it has read the body.
+func TestAnEarlyAnswerToALongBody(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	held := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = c.Read(make([]byte, 100))
+		fmt.Fprint(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+		held <- c
+	}()
+	p := NewPool(time.Now)
+	c, err := p.Get(context.Background(), l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	req := request()
+	req.Method = "POST"
+	req.ContentLength = 64 << 20
+	req.Body = io.NopCloser(io.LimitReader(zeros{}, req.ContentLength))
+	resp, err := c.Do(req, any1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(413))
+	p.Put(l.Addr().String(), c, true)
+	g.Expect(p.idle).To(BeEmpty(), "other bytes must not follow where the rest of the body is due")
+	(<-held).Close()
+}
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
