--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 fmt:
-	@files=$$(gofmt -l cmd pkg); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
+	@files=$$(gofmt -l cmd pkg platform); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -97,7 +97,7 @@
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.book,
 		Retries: retry.NewShared(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage,
-		Pool: p.pool, Metrics: gateway.NewMetrics(p.metrics), Log: log, Now: time.Now, Random: rand.Float64,
+		Pool: p.pool, Metrics: gateway.NewMetrics(p.metrics), Log: log, Beliefs: p.beliefs, Now: time.Now, Random: rand.Float64,
 	})
 	p.takeDuties(client)
 	p.ingress = ingress.New(cfg.Listen, p.gateway, p.limits, time.Now)
@@ -113,6 +113,16 @@
 // places is the number of requests that an endpoint runs at once.
 func places(e *endpoints.Endpoint) int { return e.Info().Slots }
 
+// beliefs tells what this process goes by and how old that is.
+func (p *process) beliefs() slog.Attr {
+	version := uint64(0)
+	if t := p.config.Current(); t != nil {
+		version = t.Version
+	}
+	return slog.Group("beliefs", "config", version, "config_age_ms", p.config.Age().Milliseconds(),
+		"endpoints_age_ms", p.follower.Age().Milliseconds(), "members", p.node.Members(), "peers_heard", p.node.PeersHeard())
+}
+
 // limits returns the callers' limits in force.
 func (p *process) limits() ingress.Limits {
 	t := p.config.Current()
--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/medlarsill/medlarsill/pkg/logging"
 	"github.com/medlarsill/medlarsill/pkg/settings"
+	"github.com/medlarsill/medlarsill/platform"
 	"github.com/medlarsill/medlarsill/platform/platformtest"
 )
 
@@ -71,15 +72,6 @@
 	return l.all.String()
 }
 
-func configText(version int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[
-	 {"name":"r-%d","host":"a.example","pathPrefix":"/v%d/","kind":"idempotent","timeoutMs":5000,"targetLatencyMs":500,"service":"s1","maxAttempts":2},
-	 {"name":"r-s","host":"a.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":500,"service":"s1","maxAttempts":2,"streamResume":true}],
-	 "services":[{"name":"s1","maxConns":100,"engine":{"slots":8,"kvTokens":1000,"stride":5},"scaling":{"min":1,"max":4,"bootS":1,"spotPrice":0.2,"zonePrices":{"dc-a":1,"dc-b":0.8}}}],
-	 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-	 "tenants":[{"name":"w1","apiKeys":["k1"],"ratePerS":100000,"burst":100000}]}`, version, version, version)
-}
-
 func newSite(t *testing.T) *site {
 	t.Helper()
 	s := &site{g: NewWithT(t), store: platformtest.NewStore(), cloud: platformtest.NewCloud(), lines: &lines{}}
@@ -129,7 +121,7 @@
 		return 0, err.Error()
 	}
 	req.Host = "a.example"
-	req.Header = http.Header{"X-Request-Id": {"9c41"}, "Authorization": {"Token k1"}, "X-Deadline-Ms": {"5000"}}
+	req.Header = platformtest.Headers("9c41", 5*time.Second)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
@@ -147,7 +139,7 @@
 }
 
 func (p *gatewayProcess) readiness() int {
-	resp, err := http.Get("http://" + p.cfg.ReadyListen + "/v1/readyz")
+	resp, err := http.Get("http://" + p.cfg.ReadyListen + platform.ReadyPath)
 	if err != nil {
 		return 0
 	}
@@ -164,14 +156,14 @@
 	g.Eventually(p.status("/v1/"), patience).Should(Equal(503), "without a configuration nothing is known")
 	g.Expect(p.readiness()).To(Equal(503))
 
-	s.store.Put("config", "main", configText(1))
+	s.store.Put("config", "main", platformtest.Config(1))
 	g.Eventually(p.readiness, patience).Should(Equal(200))
 	g.Eventually(p.status("/v1/"), patience).Should(Equal(200))
 	status, body := p.get("/s/stream")
 	g.Expect(status).To(Equal(200))
 	g.Expect(body).To(HaveSuffix("id: 6\ndata: event 6\n\n"))
 
-	s.store.Put("config", "main", configText(2))
+	s.store.Put("config", "main", platformtest.Config(2))
 	g.Eventually(p.status("/v2/"), patience).Should(Equal(200))
 	g.Expect(p.status("/v1/")()).To(Equal(404))
 
@@ -200,7 +192,7 @@
 func TestOneProcessHoldsTheDutiesAndAnotherTakesOver(t *testing.T) {
 	s := newSite(t)
 	g := s.g
-	s.store.Put("config", "main", configText(1))
+	s.store.Put("config", "main", platformtest.Config(1))
 	all := map[string]*gatewayProcess{"gw-1": s.start(t, "gw-1"), "gw-2": s.start(t, "gw-2")}
 	g.Eventually(s.cloud.Reports, patience).ShouldNot(BeEmpty())
 	first := s.cloud.Reports()[0].Holder
@@ -227,7 +219,7 @@
 func TestAnOutageOfTheStoreTakesNothingAway(t *testing.T) {
 	s := newSite(t)
 	g := s.g
-	s.store.Put("config", "main", configText(1))
+	s.store.Put("config", "main", platformtest.Config(1))
 	p := s.start(t, "gw-1")
 	g.Eventually(p.status("/v1/"), patience).Should(Equal(200))
 	for _, mode := range []platformtest.Mode{platformtest.Busy, platformtest.Reset} {
@@ -239,7 +231,7 @@
 		s.store.SetMode(platformtest.Up)
 		g.Eventually(s.lines.String, patience).Should(ContainSubstring(`"msg":"configuration regained"`))
 	}
-	s.store.Put("config", "main", configText(3))
+	s.store.Put("config", "main", platformtest.Config(3))
 	g.Eventually(p.status("/v3/"), patience).Should(Equal(200))
 	p.stop(g)
 }
--- a/cmd/medlarsill-gateway/stop.go
+++ b/cmd/medlarsill-gateway/stop.go
@@ -13,6 +13,7 @@
 
 	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
+	"github.com/medlarsill/medlarsill/platform"
 )
 
 const (
@@ -26,7 +27,7 @@
 // readiness answers whether new callers should come here.
 func (p *process) readiness() http.Handler {
 	e := echo.New()
-	e.GET("/v1/readyz", func(c *echo.Context) error {
+	e.GET(platform.ReadyPath, func(c *echo.Context) error {
 		if !p.ready() {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -50,6 +50,7 @@
 	command(c, "list", "List the presets", &listCommand{app: a})
 	command(c, "switch", "Switch to a preset", &switchCommand{app: a})
 	command(p.Command, "status", "Show entries, endpoints, limits and leases", &statusCommand{app: a})
+	command(p.Command, "explain", "Tell the story of a request from the processes' logs", &explainCommand{app: a})
 	command(p.Command, "audit", "Show the audit trail, newest first", &auditCommand{app: a})
 	command(p.Command, "completion", "Print a completion script for a shell", &completionCommand{app: a})
 	command(p.Command, "version", "Print the version", &versionCommand{app: a})
--- a/pkg/endpoints/endpoints_test.go
+++ b/pkg/endpoints/endpoints_test.go
@@ -157,7 +157,7 @@
 	e.Begin(0, now)
 	g.Expect(e.Paused(now)).To(BeTrue(), "one request finds out whether it is back")
 	e.Broken(now)
-	g.Expect(e.Paused(now.Add(2*firstPause - 1))).To(BeTrue(), "the pause grows")
+	g.Expect(e.Paused(now.Add(2*firstPause-1))).To(BeTrue(), "the pause grows")
 	e.Succeeded()
 	g.Expect(e.Paused(now)).To(BeFalse())
 	for range 20 {
--- a/pkg/endpoints/follow.go
+++ b/pkg/endpoints/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
@@ -33,9 +34,10 @@
 	Log    *slog.Logger
 	Now    func() time.Time
 
-	at     uint64
-	down   bool
-	synced chan struct{}
+	confirmed atomic.Pointer[time.Time]
+	at        uint64
+	down      bool
+	synced    chan struct{}
 	// back is when the store answered again after a failed call.
 	back time.Time
 }
@@ -48,6 +50,15 @@
 	return f.synced
 }
 
+// Age is the time since the store last confirmed the list.
+func (f *Follower) Age() time.Duration {
+	at := f.confirmed.Load()
+	if at == nil {
+		return 0
+	}
+	return f.Now().Sub(*at)
+}
+
 // Run follows the registrations until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	f.Synced()
@@ -93,6 +104,8 @@
 }
 
 func (f *Follower) apply(c objectstore.Changes) {
+	now := f.Now()
+	f.confirmed.Store(&now)
 	if f.down {
 		f.Log.Info("endpoint list regained", "version", c.Version, "reset", c.Reset)
 		f.down = false
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -55,7 +55,10 @@
 	Pool      *upstream.Pool
 	Metrics   *Metrics
 	Log       *slog.Logger
-	Now       func() time.Time
+	// Beliefs tells what this process goes by and how old that is, for the log
+	// lines of failed requests.
+	Beliefs func() slog.Attr
+	Now     func() time.Time
 	// Random returns numbers from 0 to below 1.
 	Random func() float64
 }
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // maxAnswerBytes bounds the part of a plain answer that is held back until it is whole.
@@ -82,10 +85,20 @@
 	g := c.gateway
 	took := g.Now().Sub(c.arrived)
 	g.Metrics.Answered.WithLabelValues(c.route.Kind.String()).Observe(took.Seconds())
-	g.Log.Debug("answered", "request", c.meta.ID, "status", status, "endpoint", endpoint,
+	level := slog.LevelDebug
+	if c.attempts > 1 || sampled(c.meta.ID) {
+		level = slog.LevelInfo
+	}
+	g.Log.Log(context.Background(), level, "answered", "request", c.meta.ID, "status", status, "endpoint", endpoint,
 		"attempts", c.attempts, "after_ms", took.Milliseconds())
 }
 
+// sampleEvery is the number of answered requests of which one is logged.
+const sampleEvery = 32
+
+// sampled tells whether an answered request is logged; all processes choose the same.
+func sampled(id string) bool { return xxhash.Sum64String(id)%sampleEvery == 0 }
+
 // copyHeader fills the caller's header; no type is guessed where the endpoint gave none.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
--- a/pkg/gateway/refuse.go
+++ b/pkg/gateway/refuse.go
@@ -28,7 +28,7 @@
 	g.Metrics.Refused.WithLabelValues(f.reason).Inc()
 	g.Log.Info("refused", "request", c.meta.ID, "status", f.status, "reason", f.reason,
 		"route", c.routeName(), "workspace", c.workspaceName(), "attempts", c.attempts,
-		"retry_after_ms", f.retryAfter.Milliseconds(), "after_ms", g.Now().Sub(c.arrived).Milliseconds())
+		"retry_after_ms", f.retryAfter.Milliseconds(), "after_ms", g.Now().Sub(c.arrived).Milliseconds(), g.Beliefs())
 	body, err := json.Marshal(errorBody{Error: f.reason})
 	if err != nil {
 		g.Log.Error("refusal not encoded", "request", c.meta.ID, "error", err.Error())
@@ -58,6 +58,6 @@
 func (c *call) abort(reason string) {
 	c.gateway.Metrics.Refused.WithLabelValues("cut: " + reason).Inc()
 	c.gateway.Log.Warn("answer cut", "request", c.meta.ID, "reason", reason, "route", c.routeName(),
-		"attempts", c.attempts, "last_event", c.lastEvent, "after_ms", c.gateway.Now().Sub(c.arrived).Milliseconds())
+		"attempts", c.attempts, "last_event", c.lastEvent, "after_ms", c.gateway.Now().Sub(c.arrived).Milliseconds(), c.gateway.Beliefs())
 	panic(http.ErrAbortHandler)
 }
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -65,7 +65,8 @@
 		}
 		c.avoidEndpoint(p.Endpoint.ID)
 		g.Log.Info("attempt failed", "request", c.meta.ID, "endpoint", p.Endpoint.ID, "state", last.state.String(),
-			"reason", last.reason, "attempt", c.attempts, "left_ms", c.deadline.Sub(g.Now()).Milliseconds(), "last_event", c.lastEvent)
+			"reason", last.reason, "attempt", c.attempts, "left_ms", c.deadline.Sub(g.Now()).Milliseconds(),
+			"last_event", c.lastEvent, "running", p.Endpoint.Total().Running, "expected_ms", p.Expected.Milliseconds(), g.Beliefs())
 		if ctx.Err() != nil || !c.mayRepeat(last) {
 			c.finish(ctx, last)
 			return
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -93,6 +93,20 @@
 	return rank
 }
 
+// PeersHeard is the number of peers that aren't silent.
+func (n *Node) PeersHeard() int {
+	silence := n.Silence()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	heard := 0
+	for _, p := range n.peers {
+		if n.Now().Sub(p.heard) <= silence {
+			heard++
+		}
+	}
+	return heard
+}
+
 // HeardWithin tells whether a peer was heard in a time before now.
 func (n *Node) HeardWithin(id string, d time.Duration) bool {
 	n.mu.Lock()
