Follow the store's objects in one place; share its errors; split the planner's memory off

Cause: two followers and two store clients repeated the same logic (duplicates). Also: peers' loads are summed by difference, and messages go to a share of the peers, for deployments of more machines.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -19,13 +19,13 @@
 	window := seconds(p.cfg.UsageWindowS)
 	p.usage = usage.NewLedger(source(p.cfg.ID, boot), window, p.clock.Now)
 	p.meter = scaling.NewMeter(time.Now)
-	p.loads = endpoints.NewPeerLoads(p.table, time.Now)
 	// The settings were checked: the IP number can be read.
 	ip := netip.MustParseAddr(p.cfg.IP)
 	p.node = gossip.NewNode(gossip.Options{
 		ID: p.cfg.ID, Boot: boot, Listen: netip.AddrPortFrom(ip, uint16(p.cfg.PeerPort)),
 		Fill: p.fill, Heard: p.heard, Log: p.log, Now: time.Now,
 	})
+	p.loads = endpoints.NewPeerLoads(p.table, p.node.Silence, time.Now)
 	p.registry = &gossip.Registry{Store: p.store, Node: p.node, Log: p.log, Now: time.Now, Remover: func() bool {
 		_, held := p.duty.Held()
 		return held
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -87,10 +87,10 @@
 		MaxIdleConnsPerHost: storeConns, IdleConnTimeout: storeIdle,
 	}}
 	p.store = platform.NewStore(cfg.ObjectAPI, client)
-	p.config = &routing.Follower{Store: p.store, Prefix: platform.ConfigPrefix, Newest: platform.IsConfig, Decode: platform.DecodeConfig, Log: log, Now: time.Now,
-		Changed: func(t *routing.Table) { p.book.Open(t.Workspaces) }}
+	p.config = routing.NewFollower(routing.FollowerOptions{Store: p.store, Prefix: platform.ConfigPrefix, Newest: platform.IsConfig, Decode: platform.DecodeConfig, Log: log, Now: time.Now,
+		Changed: func(t *routing.Table) { p.book.Open(t.Workspaces) }})
 	p.table = endpoints.NewTable(p.endpointsChanged)
-	p.follower = &endpoints.Follower{Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Log: log, Now: time.Now}
+	p.follower = endpoints.NewFollower(endpoints.FollowerOptions{Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Log: log, Now: time.Now})
 	p.scheduler = schedule.New(p.table, places, time.Now)
 	p.joinPeers()
 	p.book = allowance.New(allowance.Options{Over: allowanceShare * cfg.AllowanceOver, Now: time.Now, Silence: p.node.Silence, Members: p.node.Members})
@@ -147,7 +147,6 @@
 
 // run serves until a signal, and then stops gracefully.
 func (p *process) run(out *logging.Async) error {
-	p.follower.Synced()
 	p.log.Info("started", "id", p.cfg.ID, "data_centre", p.cfg.DataCentre)
 	ready := httpserver.New(p.cfg.ReadyListen, p.readiness())
 	metrics := httpserver.New(p.cfg.MetricsListen, httpserver.Operations(p.metrics, p.ready))
--- a/pkg/endpoints/endpoints_test.go
+++ b/pkg/endpoints/endpoints_test.go
@@ -173,13 +173,14 @@
 	table.Put(info("i-1"))
 	e, _ := table.ByID("i-1")
 	e.Begin(10, now)
-	loads := NewPeerLoads(table, func() time.Time { return now })
+	const fresh = time.Second
+	loads := NewPeerLoads(table, func() time.Duration { return fresh }, func() time.Time { return now })
 	loads.Heard("a", map[string]Load{"i-1": {Running: 2, Prompt: 5}})
 	loads.Heard("b", map[string]Load{"i-1": {Running: 3, Prompt: 7}, "i-9": {Running: 1}})
 	g.Expect(e.Total()).To(Equal(Load{Running: 6, Prompt: 22}))
 	loads.Heard("b", nil)
 	g.Expect(e.Total()).To(Equal(Load{Running: 3, Prompt: 15}), "a newer word replaces the older one")
-	now = now.Add(peerLoadFresh + time.Millisecond)
+	now = now.Add(fresh + time.Millisecond)
 	loads.Heard("b", nil)
 	g.Expect(e.Total()).To(Equal(Load{Running: 1, Prompt: 10}), "a silent peer's load is forgotten")
 }
@@ -201,7 +202,7 @@
 		}
 		return memstore.FaultNone
 	})
-	follower := &Follower{
+	follower := NewFollower(FollowerOptions{
 		Store: f.store, Prefix: "eps/", Table: f.table, Now: time.Now, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Decode: func(key string, value []byte) (Info, error) {
 			var i Info
@@ -211,7 +212,7 @@
 			i.ID = key[len("eps/"):]
 			return i, nil
 		},
-	}
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	go func() { f.done <- follower.Run(ctx) }()
--- a/pkg/endpoints/follow.go
+++ b/pkg/endpoints/follow.go
@@ -3,19 +3,16 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
-	"github.com/medlarsill/medlarsill/pkg/sleep"
+	"github.com/medlarsill/medlarsill/pkg/watch"
 )
 
 // Times of following the registrations.
 const (
-	// retryPause is the mean pause after a failed call; it is drawn from half to one and a half.
-	retryPause = 150 * time.Millisecond
-	// groupPause is the time after a change in which further ones gather.
+	// groupPause is the time after a change in which further ones gather: changes
+	// come in groups, and each call is paid for.
 	groupPause = 200 * time.Millisecond
 	// lapseGrace is how long after the store's return a missing registration may
 	// come back: the platform restores those of living endpoints in about two seconds.
@@ -25,106 +22,63 @@
 // Decode reads one registration; an error means that it names no endpoint to use.
 type Decode func(key string, value []byte) (Info, error)
 
-// Follower keeps a table up to date from the object store.
-type Follower struct {
+// FollowerOptions holds what a follower is made of. All fields are needed.
+type FollowerOptions struct {
 	Store  objectstore.Store
 	Prefix string
 	Decode Decode
 	Table  *Table
 	Log    *slog.Logger
 	Now    func() time.Time
+}
 
-	confirmed atomic.Pointer[time.Time]
-	at        uint64
-	down      bool
-	synced    chan struct{}
+// Follower keeps a table up to date from the object store.
+type Follower struct {
+	FollowerOptions
+	loop   watch.Loop
+	synced chan struct{}
 	// back is when the store answered again after a failed call.
 	back time.Time
 }
 
-// Synced closes when the registrations have been read once. Call it before Run.
-func (f *Follower) Synced() <-chan struct{} {
-	if f.synced == nil {
-		f.synced = make(chan struct{})
-	}
-	return f.synced
+// NewFollower returns a follower that has read nothing yet.
+func NewFollower(o FollowerOptions) *Follower {
+	f := &Follower{FollowerOptions: o, synced: make(chan struct{})}
+	f.loop = watch.Loop{Store: o.Store, Prefix: o.Prefix, What: "endpoint list", Apply: f.apply, Group: groupPause, Log: o.Log, Now: o.Now}
+	return f
 }
 
+// Synced closes when the registrations have been read once.
+func (f *Follower) Synced() <-chan struct{} { return f.synced }
+
 // Age is the time since the store last confirmed the list.
-func (f *Follower) Age() time.Duration {
-	at := f.confirmed.Load()
-	if at == nil {
-		return 0
-	}
-	return f.Now().Sub(*at)
-}
+func (f *Follower) Age() time.Duration { return f.loop.Age() }
 
 // Run follows the registrations until the context ends.
-func (f *Follower) Run(ctx context.Context) error {
-	f.Synced()
-	first := true
-	for ctx.Err() == nil {
-		changes, err := f.Store.Watch(ctx, f.Prefix, f.position())
-		if ctx.Err() != nil {
-			break
-		}
-		if err != nil {
-			f.failed(ctx, err)
-			continue
-		}
-		f.apply(changes)
-		if len(changes.Objects) > 0 && !changes.Reset {
-			// Changes come in groups; a short pause takes a group in one call.
-			sleep.For(ctx, groupPause)
-		}
-		if first {
-			close(f.synced)
-			first = false
-		}
-	}
-	return nil
-}
-
-// position is where the next watch goes on. After a failed call it is the
-// start: a full list is answered at once, so that the store's return is noticed
-// before the next change.
-func (f *Follower) position() uint64 {
-	if f.down {
-		return 0
-	}
-	return f.at
-}
-
-func (f *Follower) failed(ctx context.Context, err error) {
-	if !f.down {
-		f.Log.Warn("endpoint list lost", "error", err.Error(), "version", f.at)
-	}
-	f.down = true
-	sleep.For(ctx, retryPause/2+rand.N(retryPause))
-}
+func (f *Follower) Run(ctx context.Context) error { return f.loop.Run(ctx) }
 
-func (f *Follower) apply(c objectstore.Changes) {
-	now := f.Now()
-	f.confirmed.Store(&now)
-	if f.down {
-		f.Log.Info("endpoint list regained", "version", c.Version, "reset", c.Reset)
-		f.down = false
+func (f *Follower) apply(c objectstore.Changes, back bool) {
+	if back {
 		f.back = f.Now()
 	}
-	f.at = c.Version
 	if c.Reset {
-		f.replace(c.Objects)
-		return
+		f.replace(c)
+	} else {
+		for _, o := range c.Objects {
+			f.change(o)
+		}
 	}
-	for _, o := range c.Objects {
-		f.change(o)
+	select {
+	case <-f.synced:
+	default:
+		close(f.synced)
 	}
 }
 
 // replace takes a full list after a start or lost history.
-func (f *Follower) replace(objects []objectstore.Object) {
-	list := make([]Info, 0, len(objects))
-	for _, o := range objects {
+func (f *Follower) replace(c objectstore.Changes) {
+	list := make([]Info, 0, len(c.Objects))
+	for _, o := range c.Objects {
 		if i, ok := f.decode(o); ok {
 			list = append(list, i)
 		}
@@ -132,7 +86,7 @@
 	for _, id := range f.Table.Replace(list) {
 		f.missing(id)
 	}
-	f.Log.Info("endpoints listed", "count", len(list), "version", f.at)
+	f.Log.Info("endpoints listed", "count", len(list), "position", c.Version)
 }
 
 func (f *Follower) change(o objectstore.Object) {
--- a/pkg/endpoints/peerload.go
+++ b/pkg/endpoints/peerload.go
@@ -5,17 +5,21 @@
 	"time"
 )
 
-// peerLoadFresh is how long a peer's load counts after it was told.
-const peerLoadFresh = 1500 * time.Millisecond
+// expireInterval is the time between two looks for peers that have fallen silent.
+const expireInterval = 500 * time.Millisecond
 
 // PeerLoads sums what the peers have under way on each endpoint. It is safe
 // for concurrent use.
 type PeerLoads struct {
 	table *Table
 	now   func() time.Time
+	// fresh is how long a peer's load counts after it was told.
+	fresh func() time.Duration
 
-	mu    sync.Mutex
-	peers map[string]peerLoad
+	mu      sync.Mutex
+	peers   map[string]peerLoad
+	sums    map[string]Load
+	expired time.Time
 }
 
 // peerLoad is what one peer has told.
@@ -24,9 +28,10 @@
 	loads map[string]Load
 }
 
-// NewPeerLoads returns sums that are written to the endpoints of a table.
-func NewPeerLoads(t *Table, now func() time.Time) *PeerLoads {
-	return &PeerLoads{table: t, now: now, peers: make(map[string]peerLoad)}
+// NewPeerLoads returns sums that are written to the endpoints of a table; fresh
+// tells how long a peer's load counts.
+func NewPeerLoads(t *Table, fresh func() time.Duration, now func() time.Time) *PeerLoads {
+	return &PeerLoads{table: t, now: now, fresh: fresh, peers: make(map[string]peerLoad), sums: make(map[string]Load)}
 }
 
 // Heard takes a peer's work by endpoint.
@@ -34,19 +39,50 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
+	touched := make(map[string]bool)
+	p.drop(peer, touched)
 	p.peers[peer] = peerLoad{at: now, loads: loads}
-	sums := make(map[string]Load)
+	for id, l := range loads {
+		sum := p.sums[id]
+		p.sums[id] = Load{Running: sum.Running + l.Running, Prompt: sum.Prompt + l.Prompt}
+		touched[id] = true
+	}
+	if now.Sub(p.expired) >= expireInterval {
+		p.expired = now
+		p.expire(now, touched)
+	}
+	p.publish(touched)
+}
+
+// drop takes a peer's work out of the sums.
+func (p *PeerLoads) drop(peer string, touched map[string]bool) {
+	for id, l := range p.peers[peer].loads {
+		sum := p.sums[id]
+		p.sums[id] = Load{Running: sum.Running - l.Running, Prompt: sum.Prompt - l.Prompt}
+		touched[id] = true
+	}
+	delete(p.peers, peer)
+}
+
+// expire drops the peers that have fallen silent.
+func (p *PeerLoads) expire(now time.Time, touched map[string]bool) {
+	fresh := p.fresh()
 	for id, l := range p.peers {
-		if now.Sub(l.at) > peerLoadFresh {
-			delete(p.peers, id)
-			continue
-		}
-		for endpoint, load := range l.loads {
-			sum := sums[endpoint]
-			sums[endpoint] = Load{Running: sum.Running + load.Running, Prompt: sum.Prompt + load.Prompt}
+		if now.Sub(l.at) > fresh {
+			p.drop(id, touched)
 		}
 	}
-	for _, e := range p.table.All() {
-		e.SetPeers(sums[e.ID])
+}
+
+// publish writes the sums that changed to their endpoints.
+func (p *PeerLoads) publish(touched map[string]bool) {
+	for id := range touched {
+		sum := p.sums[id]
+		if sum == (Load{}) {
+			delete(p.sums, id)
+		}
+		if e, ok := p.table.ByID(id); ok {
+			e.SetPeers(sum)
+		}
 	}
 }
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -89,7 +89,7 @@
 	count := map[netip.AddrPort]int{}
 	for range 5 {
 		targets := n.targets()
-		g.Expect(targets).To(HaveLen(fanout))
+		g.Expect(targets).To(HaveLen(minFanout))
 		for _, t := range targets {
 			count[t]++
 		}
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -15,8 +15,11 @@
 const (
 	// Interval is the time between two messages of an instance.
 	Interval = 200 * time.Millisecond
-	// fanout is the number of peers that one message goes to; the peers take turns.
-	fanout = 8
+	// minFanout and maxFanout bound the number of peers that one message goes to;
+	// between them it is a share of the peers, which take turns.
+	minFanout   = 8
+	maxFanout   = 24
+	fanoutShare = 4
 	// usageEvery is the number of messages of which one carries the usage.
 	usageEvery = 3
 	// lostIntervals is the number of turns without a message after which a peer is silent.
@@ -73,7 +76,7 @@
 func (n *Node) Silence() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	turns := 1 + len(n.peers)/fanout
+	turns := 1 + len(n.peers)/fanout(len(n.peers))
 	return time.Duration(lostIntervals*turns) * Interval
 }
 
@@ -215,18 +218,22 @@
 			all = append(all, p.addr)
 		}
 	}
-	if len(all) <= fanout {
+	count := fanout(len(all))
+	if len(all) <= count {
 		return all
 	}
 	sortAddrs(all)
-	out := make([]netip.AddrPort, 0, fanout)
-	for i := range fanout {
+	out := make([]netip.AddrPort, 0, count)
+	for i := range count {
 		out = append(out, all[(n.turn+i)%len(all)])
 	}
-	n.turn = (n.turn + fanout) % len(all)
+	n.turn = (n.turn + count) % len(all)
 	return out
 }
 
+// fanout is the number of peers that one message goes to.
+func fanout(peers int) int { return min(max(minFanout, peers/fanoutShare), maxFanout) }
+
 // noteLost logs the peers that have fallen silent.
 func (n *Node) noteLost() {
 	silence := n.Silence()
--- a/pkg/objectstore/httpstore/client.go
+++ b/pkg/objectstore/httpstore/client.go
@@ -7,9 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -45,7 +43,7 @@
 func (c *Client) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	var o objectstore.Object
 	err := c.call(ctx, http.MethodGet, "/objects?key="+url.QueryEscape(key), nil, "", &o)
-	return o, read(err)
+	return o, objectstore.ReadError(err)
 }
 
 // Create implements objectstore.Store.
@@ -73,7 +71,7 @@
 func (c *Client) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
 	var out []objectstore.Object
 	err := c.call(ctx, http.MethodGet, "/list?prefix="+url.QueryEscape(prefix), nil, "", &out)
-	return out, read(err)
+	return out, objectstore.ReadError(err)
 }
 
 // Watch implements objectstore.Store.
@@ -83,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, WatchTimeout+DefaultTimeout)
 	defer cancel()
 	err := c.do(ctx, http.MethodGet, path, nil, "", &out)
-	return out, read(err)
+	return out, objectstore.ReadError(err)
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body []byte, ifMatch string, out any) error {
@@ -106,7 +104,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return transportError(err)
+		return objectstore.TransportError(err)
 	}
 	defer resp.Body.Close()
 	if err := statusError(resp.StatusCode); err != nil {
@@ -122,15 +120,6 @@
 	return nil
 }
 
-// transportError tells a call that never left this process from one whose effect is unknown.
-func transportError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return eris.Wrap(objectstore.ErrUnavailable, err.Error())
-	}
-	return eris.Wrap(objectstore.ErrUnknown, err.Error())
-}
-
 func statusError(code int) error {
 	switch code {
 	case http.StatusOK, http.StatusNoContent:
@@ -146,11 +135,3 @@
 	}
 	return eris.Wrapf(objectstore.ErrUnknown, "status %d", code)
 }
-
-// read maps an unknown outcome of a read to ErrUnavailable: a read has no effect.
-func read(err error) error {
-	if errors.Is(err, objectstore.ErrUnknown) {
-		return eris.Wrap(objectstore.ErrUnavailable, err.Error())
-	}
-	return err
-}
--- a/pkg/routing/follow.go
+++ b/pkg/routing/follow.go
@@ -3,83 +3,53 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
-	"github.com/medlarsill/medlarsill/pkg/sleep"
+	"github.com/medlarsill/medlarsill/pkg/watch"
 )
 
-// retryPause is the mean pause after a failed call to the store; it is drawn
-// from half to one and a half.
-const retryPause = 150 * time.Millisecond
-
-// Follower keeps the newest configuration that this process has seen. It never
-// goes back to an older one.
-type Follower struct {
+// FollowerOptions holds what a follower is made of. All fields are needed.
+type FollowerOptions struct {
 	Store  objectstore.Store
 	Prefix string
 	// Newest tells whether an object holds the newest configuration.
 	Newest func(o objectstore.Object) bool
 	Decode func(value []byte) (Config, error)
-	Log    *slog.Logger
-	Now    func() time.Time
 	// Changed is called with each configuration that comes into force.
 	Changed func(*Table)
+	Log     *slog.Logger
+	Now     func() time.Time
+}
 
-	current   atomic.Pointer[Table]
-	confirmed atomic.Pointer[time.Time]
-	mu        sync.Mutex
-	at        uint64
-	down      bool
+// Follower keeps the newest configuration that this process has seen. It never
+// goes back to an older one.
+type Follower struct {
+	FollowerOptions
+	loop    watch.Loop
+	current atomic.Pointer[Table]
+	mu      sync.Mutex
+}
+
+// NewFollower returns a follower that knows no configuration yet.
+func NewFollower(o FollowerOptions) *Follower {
+	f := &Follower{FollowerOptions: o}
+	f.loop = watch.Loop{Store: o.Store, Prefix: o.Prefix, What: "configuration", Apply: f.apply, Log: o.Log, Now: o.Now}
+	return f
 }
 
 // Current returns the configuration in force, or nil while none is known.
 func (f *Follower) Current() *Table { return f.current.Load() }
 
 // Age is the time since the store last confirmed the configuration.
-func (f *Follower) Age() time.Duration {
-	at := f.confirmed.Load()
-	if at == nil {
-		return 0
-	}
-	return f.Now().Sub(*at)
-}
+func (f *Follower) Age() time.Duration { return f.loop.Age() }
 
 // Run follows the configuration until the context ends.
-func (f *Follower) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		changes, err := f.Store.Watch(ctx, f.Prefix, f.at)
-		if ctx.Err() != nil {
-			break
-		}
-		if err != nil {
-			f.failed(ctx, err)
-			continue
-		}
-		f.apply(changes)
-	}
-	return nil
-}
+func (f *Follower) Run(ctx context.Context) error { return f.loop.Run(ctx) }
 
-func (f *Follower) failed(ctx context.Context, err error) {
-	if !f.down {
-		f.Log.Warn("configuration lost", "error", err.Error(), "version", f.version(), "age_ms", f.Age().Milliseconds())
-	}
-	f.down = true
-	sleep.For(ctx, retryPause/2+rand.N(retryPause))
-}
-
-func (f *Follower) apply(c objectstore.Changes) {
-	now := f.Now()
-	f.confirmed.Store(&now)
-	if f.down {
-		f.Log.Info("configuration regained", "version", f.version(), "reset", c.Reset)
-		f.down = false
-	}
-	f.at = c.Version
+func (f *Follower) apply(c objectstore.Changes, _ bool) {
 	for _, o := range c.Objects {
 		if !f.Newest(o) {
 			continue
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -74,7 +74,7 @@
 }
 
 func newFollower(store objectstore.Store) *Follower {
-	return &Follower{
+	return NewFollower(FollowerOptions{
 		Store: store, Prefix: "config/", Newest: func(o objectstore.Object) bool { return o.Key == "config/main" },
 		Decode: func(value []byte) (Config, error) {
 			var version uint64
@@ -82,7 +82,7 @@
 			return Config{Version: version}, err
 		},
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now, Changed: func(*Table) {},
-	}
+	})
 }
 
 // TestConfigurationNeverGoesBack takes versions from any source in any order.
--- /dev/null
+++ b/pkg/scaling/service.go
@@ -0,0 +1,152 @@
+package scaling
+
+import "time"
+
+const (
+	// repeatAfter is the time beyond the boot after which an order that shows no
+	// instances is given again.
+	repeatAfter = 3 * time.Second
+	// findTime is how long no further instance must be found at the first start
+	// before some are given up: they register within a heartbeat of each other.
+	findTime = 1300 * time.Millisecond
+	// settleTime is how long a new holder keeps the on-demand instances that it found.
+	settleTime = 10 * time.Second
+	// probeInterval is the time between two orders while the platform refuses them.
+	probeInterval = time.Second
+	// releaseAfter is how long fewer instances must be wanted before some are given up.
+	releaseAfter = 6 * time.Second
+	// riseTime and fallTime smooth the demand: it is followed fast when it grows.
+	riseTime = time.Second
+	fallTime = 12 * time.Second
+)
+
+// service is what the planner remembers of a service while it holds the duty.
+type service struct {
+	demand float64
+	at     time.Time
+	// unused is true until the first request ever.
+	unused bool
+	// found holds the instances that were there at the first start.
+	found   map[string]bool
+	foundAt time.Time
+	// since is when this process began to plan for the service.
+	since   time.Time
+	ordered map[Place]order
+	refused map[Place]time.Time
+	// seen holds how many instances were last present.
+	seen map[Place]int
+	// surplus holds since when a place has had more than is wanted.
+	surplus map[Place]time.Time
+}
+
+type order struct {
+	count int
+	at    time.Time
+}
+
+func newService(firstStart bool, now time.Time) *service {
+	return &service{
+		unused: firstStart, since: now, found: make(map[string]bool), ordered: make(map[Place]order),
+		refused: make(map[Place]time.Time), seen: make(map[Place]int), surplus: make(map[Place]time.Time),
+	}
+}
+
+// follow smooths the demand.
+func (s *service) follow(demand float64, now time.Time) {
+	if s.at.IsZero() {
+		s.demand, s.at = demand, now
+		return
+	}
+	span := fallTime
+	if demand > s.demand {
+		span = riseTime
+	}
+	share := min(1, now.Sub(s.at).Seconds()/span.Seconds())
+	s.demand += share * (demand - s.demand)
+	s.at = now
+}
+
+// due tells whether an order for a place is to be given, and for how many.
+func (s *service) due(place Place, want, present map[Place]int, boot time.Duration, now time.Time) (int, bool) {
+	wanted, have := want[place], present[place]
+	last, known := s.ordered[place]
+	if !known {
+		last.count = have
+	}
+	lost := have < s.seen[place]
+	s.seen[place] = have
+	missing := have < wanted && (lost || now.Sub(last.at) > boot+repeatAfter)
+	switch {
+	case wanted > last.count || missing:
+		delete(s.surplus, place)
+		return wanted, !s.recently(place, now)
+	case wanted < last.count && have > wanted && (place.Reclaimable || s.plenty(now)):
+		return s.release(place, want, present, now)
+	}
+	delete(s.surplus, place)
+	return 0, false
+}
+
+// plenty tells whether reclaimable instances are surely to be had: a new holder
+// of the duty doesn't know yet whether they were refused.
+func (s *service) plenty(now time.Time) bool {
+	if s.unused {
+		return now.Sub(s.foundAt) >= findTime
+	}
+	return now.Sub(s.since) >= settleTime && !Observation{Refused: s.refused, Now: now}.scarce()
+}
+
+// recently tells whether the platform has just refused an order for reclaimable
+// instances. What it lacks in one data centre it often lacks in all, so one
+// order at a time finds out whether there are some again.
+func (s *service) recently(place Place, now time.Time) bool {
+	if !place.Reclaimable {
+		return now.Sub(s.refused[place]) < probeInterval
+	}
+	for at, when := range s.refused {
+		if at.Reclaimable && now.Sub(when) < probeInterval {
+			return true
+		}
+	}
+	return false
+}
+
+// release gives up a surplus that has lasted, if what stays is enough without it.
+func (s *service) release(place Place, want, present map[Place]int, now time.Time) (int, bool) {
+	since, ok := s.surplus[place]
+	if !ok {
+		s.surplus[place] = now
+		return 0, false
+	}
+	wait := releaseAfter
+	if !place.Reclaimable {
+		wait = stepInterval
+	}
+	if now.Sub(since) < wait && !s.unused {
+		return 0, false
+	}
+	total, have := 0, 0
+	for _, n := range want {
+		total += n
+	}
+	for at, n := range present {
+		have += n
+		if at == place {
+			have -= n - want[place]
+		}
+	}
+	if have < total && !s.unused {
+		return 0, false
+	}
+	delete(s.surplus, place)
+	return want[place], true
+}
+
+// granted takes the news that a place has instances to give: the others may have too.
+func (s *service) granted(place Place) {
+	for at := range s.refused {
+		if at.Reclaimable == place.Reclaimable {
+			delete(s.refused, at)
+		}
+	}
+}
