--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -41,6 +41,9 @@
 	// spareShare is the part of the demand that cheap reclaimable instances are
 	// kept beyond it, beside a whole data centre's.
 	spareShare = 0.3
+	// onDemandShare is the part of the demand that dear on-demand instances are
+	// kept for: engines may be busier for the time that the others are scarce.
+	onDemandShare = 0.85
 	// refusedFor is how long after a refusal reclaimable instances are taken for scarce.
 	refusedFor = 5 * time.Second
 	// minTotal is the least number of instances of a service.
@@ -58,7 +61,7 @@
 	if len(centres) == 0 {
 		return want
 	}
-	total := max(minTotal, int(math.Ceil(o.Demand)))
+	total := max(minTotal, int(math.Ceil(o.Demand*onDemandShare)))
 	ample := max(float64(minTotal), o.Demand*(1+spareShare))
 	each := int(math.Ceil(ample / float64(max(1, len(centres)-1))))
 	scarce := o.scarce()
