--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -36,7 +36,7 @@
 func source(id string, boot uint64) string { return fmt.Sprintf("%s/%d", id, boot) }
 
 // fill adds this instance's state to a message.
-func (p *process) fill(m *gossip.Message, withUsage bool) {
+func (p *process) fill(m *gossip.Message) {
 	m.WallMS = time.Now().UnixMilli()
 	if t := p.config.Current(); t != nil {
 		m.Config = t.Version
@@ -50,9 +50,7 @@
 	m.Totals = p.book.Totals()
 	m.Asked = p.scheduler.Asked.Totals()
 	p.meter.Heard(p.usage.Source, m.Asked)
-	if withUsage {
-		m.Usage = p.usage.Own()
-	}
+	m.Usage = p.usage.Own()
 }
 
 // heard takes a peer's state.
@@ -61,9 +59,7 @@
 	p.clock.Heard(m.ID, time.UnixMilli(m.WallMS))
 	p.book.Heard(m.ID, m.Boot, m.Totals)
 	p.meter.Heard(from, m.Asked)
-	if m.Usage != nil {
-		p.usage.Merge(from, m.Usage)
-	}
+	p.usage.Merge(from, m.Usage)
 	loads := make(map[string]endpoints.Load, len(m.Load))
 	for id, l := range m.Load {
 		loads[id] = endpoints.Load{Running: l.Running, Prompt: l.Prompt}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -20,7 +20,7 @@
 func address(i int) netip.AddrPort { return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7600", i)) }
 
 func newNode(id string, now *time.Time) *Node {
-	return NewNode(Options{ID: id, Boot: 1, Listen: address(1), Fill: func(*Message, bool) {}, Heard: func(Message) {}, Log: discard, Now: func() time.Time { return *now }})
+	return NewNode(Options{ID: id, Boot: 1, Listen: address(1), Fill: func(*Message) {}, Heard: func(Message) {}, Log: discard, Now: func() time.Time { return *now }})
 }
 
 func TestAMessageSurvivesTheWire(t *testing.T) {
@@ -154,7 +154,7 @@
 	heard := make(chan Message, 1)
 	a, b := freePort(t), freePort(t)
 	start := func(id string, at netip.AddrPort, other netip.AddrPort, take func(Message)) func() {
-		n := NewNode(Options{ID: id, Boot: 1, Listen: at, Fill: func(m *Message, _ bool) { m.Config = 42 }, Heard: take, Log: discard, Now: time.Now})
+		n := NewNode(Options{ID: id, Boot: 1, Listen: at, Fill: func(m *Message) { m.Config = 42 }, Heard: take, Log: discard, Now: time.Now})
 		n.SetMembers(map[string]netip.AddrPort{"other": other})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -40,8 +40,7 @@
 	Totals map[string]float64 `cbor:"7,keyasint"`
 	// Asked holds the engine time in seconds that was asked for since the sender's start, by service.
 	Asked map[string]float64 `cbor:"9,keyasint,omitempty"`
-	// Usage holds the requests that began to run, by usage window and workspace;
-	// it is left out of most messages.
+	// Usage holds the requests that began to run, by usage window and workspace.
 	Usage map[int64]map[string]int `cbor:"8,keyasint,omitempty"`
 }
 
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -20,8 +20,6 @@
 	minFanout   = 8
 	maxFanout   = 24
 	fanoutShare = 4
-	// usageEvery is the number of messages of which one carries the usage.
-	usageEvery = 3
 	// lostIntervals is the number of turns without a message after which a peer is silent.
 	lostIntervals = 4
 )
@@ -32,8 +30,8 @@
 	Boot uint64
 	// Listen is this instance's address for datagrams.
 	Listen netip.AddrPort
-	// Fill adds this instance's state to a message; usage tells whether it carries the usage.
-	Fill func(m *Message, usage bool)
+	// Fill adds this instance's state to a message.
+	Fill func(m *Message)
 	// Heard takes a peer's message.
 	Heard func(m Message)
 	Log   *slog.Logger
@@ -194,7 +192,7 @@
 	for sleep.For(ctx, Interval) {
 		n.seq++
 		m := Message{ID: n.ID, Boot: n.Boot, Seq: n.seq}
-		n.Fill(&m, n.seq%usageEvery == 0)
+		n.Fill(&m)
 		data, err := encode(m)
 		if err != nil {
 			n.Log.Error("message not sent", "error", err.Error())
--- a/pkg/usage/report.go
+++ b/pkg/usage/report.go
@@ -17,7 +17,7 @@
 	// stateKey is the object that holds what holders of the duty hand on.
 	stateKey = "usage/state"
 	// stepInterval is the time between two steps of the duty.
-	stepInterval = time.Second
+	stepInterval = 300 * time.Millisecond
 	// settleTime is how long after a window's end its counts are taken as final:
 	// peers tell theirs every few hundred milliseconds.
 	settleTime = 2 * time.Second
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -11,7 +11,7 @@
 )
 
 // Kept is the number of windows that are kept, the present one included.
-const Kept = 6
+const Kept = 5
 
 // Counts holds the requests of each workspace.
 type Counts map[string]int
