--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -3,12 +3,15 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
 
+	"github.com/medlarsill/medlarsill/pkg/actors"
 	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
+	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/pkg/usage"
 	"github.com/medlarsill/medlarsill/platform"
 )
@@ -45,3 +48,15 @@
 		FirstStart: p.cfg.FirstStart,
 	})
 }
+
+// dutyActors returns the actors of the duties that the platform asks for.
+func (p *process) dutyActors() []actors.Actor {
+	wanted := []actors.Actor{p.duty.Run}
+	if slices.Contains(p.cfg.Duties, settings.DutyUsage) {
+		wanted = append(wanted, p.reporter.Run)
+	}
+	if slices.Contains(p.cfg.Duties, settings.DutyCapacity) {
+		wanted = append(wanted, p.planner.Run)
+	}
+	return wanted
+}
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -97,7 +97,7 @@
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.book,
 		Retries: retry.NewShared(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage,
-		Pool: p.pool, Metrics: gateway.NewMetrics(p.metrics), Log: log, Beliefs: p.beliefs, Now: time.Now, Random: rand.Float64,
+		Pool: p.pool, Metrics: gateway.NewMetrics(p.metrics), Log: log, Beliefs: p.beliefs, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
 	})
 	p.takeDuties(client)
 	p.ingress = ingress.New(cfg.Listen, p.gateway, p.limits, time.Now)
@@ -110,6 +110,15 @@
 	p.planner.Wake()
 }
 
+// idleShare is the share of the connections that an endpoint takes which may stay
+// idle, over all instances.
+const idleShare = 0.5
+
+// idleConns is the number of idle connections that this process keeps to an endpoint of a service.
+func (p *process) idleConns(s *routing.Service) int {
+	return max(1, int(idleShare*float64(s.MaxConns))/p.node.Members())
+}
+
 // places is the number of requests that an endpoint runs at once.
 func places(e *endpoints.Endpoint) int { return e.Info().Slots }
 
@@ -150,7 +159,7 @@
 	p.log.Info("started", "id", p.cfg.ID, "data_centre", p.cfg.DataCentre)
 	ready := httpserver.New(p.cfg.ReadyListen, p.readiness())
 	metrics := httpserver.New(p.cfg.MetricsListen, httpserver.Operations(p.metrics, p.ready))
-	return actors.Run(
+	components := []actors.Actor{
 		out.Run,
 		p.stopOnSignal,
 		p.reloadOnSignal,
@@ -160,13 +169,11 @@
 		p.sweepPool,
 		p.node.Run,
 		p.registry.Run,
-		p.duty.Run,
-		p.reporter.Run,
-		p.planner.Run,
-		func(ctx context.Context) error { return p.serve(ctx) },
+		p.serve,
 		func(ctx context.Context) error { return httpserver.Run(ctx, ready, 0) },
 		func(ctx context.Context) error { return httpserver.Run(ctx, metrics, 0) },
-	)
+	}
+	return actors.Run(append(components, p.dutyActors()...)...)
 }
 
 func (p *process) serve(ctx context.Context) error {
--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -98,8 +98,8 @@
 	cfg := settings.Gateway{
 		ID: id, DataCentre: "dc-a", Listen: freeAddr(t), ReadyListen: freeAddr(t), MetricsListen: freeAddr(t),
 		IP: "127.0.0.1", PeerPort: freePort(t), ObjectAPI: s.store.Addr(), CloudAPI: s.cloud.Addr(), Duties: []string{"usage", "autoscale"},
-		MemoryMB: 256, MaxDescriptors: 1000, StopGraceS: 3, ConfigInForceMS: 2000, LeaseMS: 900, RetryShare: 0.2, RetryWindowS: 10, RetryExtra: 50,
-		AllowanceWindowS: 8, AllowanceOver: 0.1, UsageWindowS: 1, UsageLateS: 10, PrefixReuseS: 10, Log: settings.Log{Format: "json", Level: "info"},
+		MemoryMB: 256, StopGraceS: 3, LeaseMS: 900, RetryShare: 0.2, RetryExtra: 50,
+		AllowanceOver: 0.1, UsageWindowS: 1, Log: settings.Log{Format: "json", Level: "info"},
 	}
 	out := logging.NewAsync(s.lines)
 	p := &gatewayProcess{process: newProcess(cfg, "", slog.New(slog.NewJSONHandler(out, nil))), done: make(chan error, 1)}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -48,11 +48,20 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer func() {
 		untouched := stop()
-		g.Pool.Put(p.Endpoint.Addr, conn, a.whole && untouched)
+		g.Pool.Put(p.Endpoint.Addr, conn, a.whole && untouched, c.idleConns())
 	}()
 	return a.exchange(ctx)
 }
 
+// idleConns is the number of idle connections to keep to each endpoint of the call's service.
+func (c *call) idleConns() int {
+	s, ok := c.table.Service(c.service)
+	if !ok {
+		return 1
+	}
+	return c.gateway.IdleConns(s)
+}
+
 // exchange sends the request and takes the head of the answer.
 func (a *attempt) exchange(ctx context.Context) outcome {
 	g := a.gateway
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -58,7 +58,9 @@
 	// Beliefs tells what this process goes by and how old that is, for the log
 	// lines of failed requests.
 	Beliefs func() slog.Attr
-	Now     func() time.Time
+	// IdleConns is the number of idle connections that are kept to each endpoint of a service.
+	IdleConns func(s *routing.Service) int
+	Now       func() time.Time
 	// Random returns numbers from 0 to below 1.
 	Random func() float64
 }
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -152,7 +152,8 @@
 	for ctx.Err() == nil {
 		size, from, err := conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
-			continue // datagrams that were refused are reported here; the context ends the loop
+			n.readFailed(ctx, err)
+			continue
 		}
 		m, err := decode(buf[:size])
 		if err != nil {
@@ -166,6 +167,16 @@
 	return nil
 }
 
+// readFailed takes an error of the socket. One that comes again and again is not
+// logged in haste.
+func (n *Node) readFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	n.Log.Warn("datagram not read", "error", err.Error())
+	sleep.For(ctx, Interval)
+}
+
 // take notes the sender of a message; false if a newer one of it was heard.
 func (n *Node) take(m Message, from netip.AddrPort) bool {
 	if m.ID == n.ID {
--- a/pkg/settings/types.go
+++ b/pkg/settings/types.go
@@ -134,40 +134,34 @@
 	// IP and PeerPort are the address for datagrams of peers.
 	IP       string `json:"ip"`
 	PeerPort int    `json:"peer_port"`
-	// Seeds are addresses of instances that may be peers; their ports are ignored.
-	Seeds []string `json:"seeds"`
 	// ObjectAPI and CloudAPI are the addresses of the platform.
 	ObjectAPI string `json:"object_api"`
 	CloudAPI  string `json:"cloud_api"`
-	// Duties names the duties that the platform asks for.
+	// Duties names the duties that the platform asks for: DutyUsage, DutyCapacity.
 	Duties []string `json:"duties"`
 	// FirstStart is true only when the whole system starts for the first time.
 	FirstStart bool `json:"first_start"`
-	// MemoryMB is the memory of the instance in megabytes, MaxDescriptors its file descriptors.
-	MemoryMB       int `json:"memory_mb"`
-	MaxDescriptors int `json:"max_descriptors"`
+	// MemoryMB is the memory of the instance in megabytes.
+	MemoryMB int `json:"memory_mb"`
 	// StopGraceS is the time of a planned stop in seconds.
 	StopGraceS float64 `json:"stop_grace_s"`
-	// ConfigInForceMS bounds the time until a change is in force, in milliseconds.
-	ConfigInForceMS int `json:"config_in_force_ms"`
 	// LeaseMS is the shortest time between two holders of a duty, in milliseconds.
 	LeaseMS int `json:"lease_ms"`
-	// RetryShare bounds the repeated sends in RetryWindowS seconds as a share of
-	// the requests; RetryExtra repeats are allowed besides, over all instances.
-	RetryShare   float64 `json:"retry_share"`
-	RetryWindowS float64 `json:"retry_window_s"`
-	RetryExtra   float64 `json:"retry_extra"`
-	// AllowanceWindowS is the window in seconds over which workspaces' limits are
-	// checked, AllowanceOver the share and AllowanceSlack the cost by which all
-	// instances together may exceed them.
-	AllowanceWindowS float64 `json:"allowance_window_s"`
-	AllowanceOver    float64 `json:"allowance_over"`
-	AllowanceSlack   float64 `json:"allowance_slack"`
-	// UsageWindowS is the length of a usage window and UsageLateS the time after
-	// its end at which its report is due, in seconds.
+	// RetryShare bounds the repeated sends as a share of the requests; RetryExtra
+	// repeats are allowed besides in any window, over all instances.
+	RetryShare float64 `json:"retry_share"`
+	RetryExtra float64 `json:"retry_extra"`
+	// AllowanceOver is the share by which all instances together may exceed the
+	// workspaces' limits.
+	AllowanceOver float64 `json:"allowance_over"`
+	// UsageWindowS is the length of a usage window in seconds.
 	UsageWindowS float64 `json:"usage_window_s"`
-	UsageLateS   float64 `json:"usage_late_s"`
-	// PrefixReuseS is the time in seconds after which a cached prompt part counts as cold.
-	PrefixReuseS float64 `json:"prefix_reuse_s"`
 	Log          Log     `json:"log"`
 }
+
+// The duties that a platform may ask for.
+const (
+	// DutyUsage reports the workspaces' usage, DutyCapacity orders instances.
+	DutyUsage    = "usage"
+	DutyCapacity = "autoscale"
+)
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -166,22 +166,18 @@
 	_, err := netip.ParseAddr(s.IP)
 	v.require(err == nil, "ip", "%q must be an IP number", s.IP)
 	v.require(s.PeerPort > 0 && s.PeerPort <= maxPort, "peer_port", "must be from 1 to %d", maxPort)
-	for i, seed := range s.Seeds {
-		_, err := netip.ParseAddrPort(seed)
-		v.require(err == nil, fmt.Sprintf("seeds[%d]", i), "%q must be an IP number and a port", seed)
+	for i, duty := range s.Duties {
+		v.require(duty == DutyUsage || duty == DutyCapacity, fmt.Sprintf("duties[%d]", i), "must be %q or %q, not %q", DutyUsage, DutyCapacity, duty)
 	}
 	v.require(s.MemoryMB > 0, "memory_mb", "must be positive")
-	v.require(s.MaxDescriptors > 0, "max_descriptors", "must be positive")
-	v.require(s.ConfigInForceMS > 0, "config_in_force_ms", "must be positive")
 	v.require(s.LeaseMS > 0, "lease_ms", "must be positive")
 	v.require(s.RetryShare >= 0 && s.RetryExtra >= 0, "retry_share", "retry_share and retry_extra must not be negative")
-	v.require(s.AllowanceOver >= 0 && s.AllowanceSlack >= 0, "allowance_over", "allowance_over and allowance_slack must not be negative")
+	v.require(s.AllowanceOver >= 0, "allowance_over", "must not be negative")
 	for _, t := range []struct {
 		field   string
 		seconds float64
 	}{
-		{"stop_grace_s", s.StopGraceS}, {"retry_window_s", s.RetryWindowS}, {"allowance_window_s", s.AllowanceWindowS},
-		{"usage_window_s", s.UsageWindowS}, {"usage_late_s", s.UsageLateS}, {"prefix_reuse_s", s.PrefixReuseS},
+		{"stop_grace_s", s.StopGraceS}, {"usage_window_s", s.UsageWindowS},
 	} {
 		v.require(t.seconds > 0, t.field, "must be a positive number of seconds")
 	}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -99,8 +99,8 @@
 }
 
 // Put takes a connection back after its request has ended; whole tells whether
-// the answer was read to its end.
-func (p *Pool) Put(addr string, c *Conn, whole bool) {
+// the answer was read to its end. At most limit idle ones are kept to an address.
+func (p *Pool) Put(addr string, c *Conn, whole bool, limit int) {
 	if !whole || c.spoiled || c.br.Buffered() > 0 {
 		c.Close()
 		return
@@ -108,6 +108,10 @@
 	c.idle = p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.idle[addr]) >= limit {
+		c.Close()
+		return
+	}
 	p.idle[addr] = append(p.idle[addr], c)
 }
 
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -65,6 +65,9 @@
 	return &http.Request{Method: "GET", Host: "a.example", URL: &url.URL{Scheme: "http", Host: "a.example", Opaque: "/x"}, Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1}
 }
 
+// idleLimit is the number of idle connections that the tests' pools keep.
+const idleLimit = 2
+
 func any1(*http.Response) bool { return true }
 
 func exchange(p *Pool, addr string, own func(*http.Response) bool) (string, error) {
@@ -74,11 +77,11 @@
 	}
 	resp, err := c.Do(request(), own)
 	if err != nil {
-		p.Put(addr, c, false)
+		p.Put(addr, c, false, idleLimit)
 		return "", err
 	}
 	body, err := io.ReadAll(resp.Body)
-	p.Put(addr, c, err == nil)
+	p.Put(addr, c, err == nil, idleLimit)
 	return string(body), err
 }
 
@@ -227,6 +230,23 @@
 	g.Expect(s.conns.Load()).To(BeEquivalentTo(2))
 }
 
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int64, c net.Conn) bool { return true })
+	p := NewPool(time.Now)
+	var conns []*Conn
+	for range idleLimit + 3 {
+		c, err := p.dial(context.Background(), s.addr())
+		g.Expect(err).NotTo(HaveOccurred())
+		conns = append(conns, c)
+	}
+	for _, c := range conns {
+		p.Put(s.addr(), c, true, idleLimit)
+	}
+	g.Expect(p.idle[s.addr()]).To(HaveLen(idleLimit))
+	p.Drop(s.addr())
+}
+
 // TestAnEarlyAnswerToALongBody has the endpoint answer before it has read the body.
 func TestAnEarlyAnswerToALongBody(t *testing.T) {
 	g := NewWithT(t)
@@ -253,7 +273,7 @@
 	resp, err := c.Do(req, any1)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.StatusCode).To(Equal(413))
-	p.Put(l.Addr().String(), c, true)
+	p.Put(l.Addr().String(), c, true, idleLimit)
 	g.Expect(p.idle).To(BeEmpty(), "other bytes must not follow where the rest of the body is due")
 	(<-held).Close()
 }
