--- /dev/null
+++ b/cmd/medlarsill-gateway/metrics.go
@@ -0,0 +1,34 @@
+package main
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// registerBeliefs serves the ages of what this process goes by.
+func (p *process) registerBeliefs() {
+	gauges := map[string]struct {
+		help  string
+		value func() float64
+	}{
+		"medlarsill_config_age_seconds":    {"Time since the store last confirmed the configuration.", func() float64 { return p.config.Age().Seconds() }},
+		"medlarsill_config_version":        {"Version of the configuration in force; 0 while none is known.", p.configVersion},
+		"medlarsill_endpoints_age_seconds": {"Time since the store last confirmed the list of endpoints.", func() float64 { return p.follower.Age().Seconds() }},
+		"medlarsill_members":               {"Instances that are registered or heard, this one included.", func() float64 { return float64(p.node.Members()) }},
+		"medlarsill_peers_heard":           {"Peers that aren't silent.", func() float64 { return float64(p.node.PeersHeard()) }},
+		"medlarsill_duties_fence":          {"Fencing number under which this instance holds the duties; 0 if it doesn't.", p.dutiesFence},
+		"medlarsill_requests_active":       {"Requests under way.", func() float64 { return float64(p.gateway.Active()) }},
+	}
+	for name, g := range gauges {
+		p.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: g.help}, g.value))
+	}
+}
+
+func (p *process) configVersion() float64 {
+	if t := p.config.Current(); t != nil {
+		return float64(t.Version)
+	}
+	return 0
+}
+
+func (p *process) dutiesFence() float64 {
+	fence, _ := p.duty.Held()
+	return float64(fence)
+}
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -23,6 +23,7 @@
 	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/logging"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
+	"github.com/medlarsill/medlarsill/pkg/objectstore/counted"
 	"github.com/medlarsill/medlarsill/pkg/retry"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
@@ -86,7 +87,7 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: storeConns, IdleConnTimeout: storeIdle,
 	}}
-	p.store = platform.NewStore(cfg.ObjectAPI, client)
+	p.store = counted.New(platform.NewStore(cfg.ObjectAPI, client), p.metrics)
 	p.config = routing.NewFollower(routing.FollowerOptions{Store: p.store, Prefix: platform.ConfigPrefix, Newest: platform.IsConfig, Decode: platform.DecodeConfig, Log: log, Now: time.Now,
 		Changed: func(t *routing.Table) { p.book.Open(t.Workspaces) }})
 	p.table = endpoints.NewTable(p.endpointsChanged)
@@ -101,6 +102,7 @@
 	})
 	p.takeDuties(client)
 	p.ingress = ingress.New(cfg.Listen, p.gateway, p.limits, time.Now)
+	p.registerBeliefs()
 	return p
 }
 
@@ -124,11 +126,7 @@
 
 // beliefs tells what this process goes by and how old that is.
 func (p *process) beliefs() slog.Attr {
-	version := uint64(0)
-	if t := p.config.Current(); t != nil {
-		version = t.Version
-	}
-	return slog.Group("beliefs", "config", version, "config_age_ms", p.config.Age().Milliseconds(),
+	return slog.Group("beliefs", "config", p.configVersion(), "config_age_ms", p.config.Age().Milliseconds(),
 		"endpoints_age_ms", p.follower.Age().Milliseconds(), "members", p.node.Members(), "peers_heard", p.node.PeersHeard())
 }
 
--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -138,6 +138,16 @@
 	}
 }
 
+func (p *gatewayProcess) scrape() string {
+	resp, err := http.Get("http://" + p.cfg.MetricsListen + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return string(body)
+}
+
 func (p *gatewayProcess) readiness() int {
 	resp, err := http.Get("http://" + p.cfg.ReadyListen + platform.ReadyPath)
 	if err != nil {
@@ -169,13 +179,14 @@
 
 	g.Eventually(s.cloud.Orders, patience).ShouldNot(BeEmpty())
 	g.Expect(s.cloud.Orders()[0].Holder).To(Equal("gw-1"))
-	g.Eventually(func() int { return counted(s.cloud.Reports(), "w1") }, patience).Should(BeNumerically(">=", 3))
+	g.Eventually(func() int { return sumReported(s.cloud.Reports(), "w1") }, patience).Should(BeNumerically(">=", 3))
+	g.Expect(p.scrape()).To(And(ContainSubstring("medlarsill_config_version 2"), ContainSubstring(`medlarsill_store_calls_total{kind="config",operation="watch",outcome="ok"}`)))
 	p.stop(g)
 	g.Expect(s.lines.String()).To(And(ContainSubstring(`"msg":"started"`), ContainSubstring(`"msg":"stopping"`), ContainSubstring(`"msg":"registration ignored"`)))
 }
 
-// counted sums the reported requests of a workspace, each window once.
-func counted(reports []platformtest.Report, workspace string) int {
+// sumReported sums the reported requests of a workspace, each window once.
+func sumReported(reports []platformtest.Report, workspace string) int {
 	windows := map[int64]int{}
 	for _, r := range reports {
 		windows[r.Window] = r.Counts[workspace]
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -26,6 +26,9 @@
 	if c.table == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration", retryAfter: unconfiguredPause}
 	}
+	if limit := c.table.Limits.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large", close: true}
+	}
 	route, ok := c.table.Match(c.r.Host, c.r.URL.Path)
 	if !ok {
 		return &refusal{status: http.StatusNotFound, reason: "no route"}
@@ -41,6 +44,18 @@
 	return nil
 }
 
+// headerBytes is the size of a request's head as it was sent.
+func headerBytes(r *http.Request) int {
+	const separators = 4 // a colon, a space and the end of the line
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
 // timeout is the shorter of the route's timeout and the caller's patience.
 func timeout(route *routing.Route, m Meta) time.Duration {
 	t := route.Timeout
