Give up on-demand instances at once at the first start

Cause: 18 on-demand instances were kept 4 s longer than needed while they registered, only to be counted; half of the most that a data centre may have is as good a start.

--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -16,9 +16,6 @@
 	stepInterval = 500 * time.Millisecond
 	// callTime is the longest time of one order, for which the lease must last.
 	callTime = 800 * time.Millisecond
-	// firstShare is the part of the instances found at the first start that is
-	// taken for the demand until requests show it.
-	firstShare = 0.6
 )
 
 // Lease tells whether this process holds the duty.
@@ -119,10 +116,9 @@
 	}
 	demand := p.Load.Engines(s)
 	state.unused = state.unused && demand == 0
+	state.follow(demand, now)
 	if state.unused {
-		state.demand = firstShare * float64(p.find(s.Name, state))
-	} else {
-		state.follow(demand, now)
+		state.demand = firstDemand(s.Scaling)
 	}
 	refusals := len(state.refused)
 	p.give(ctx, s, state, now)
@@ -155,20 +151,6 @@
 	return out
 }
 
-// find notes the on-demand instances that were there at the first start, and
-// returns how many there have been so far.
-func (p *Planner) find(name string, s *service) int {
-	for _, e := range p.Endpoints.All() {
-		if e.Service == name && !e.Info().Reclaimable {
-			if !s.found[e.ID] {
-				s.foundAt = p.Now()
-			}
-			s.found[e.ID] = true
-		}
-	}
-	return len(s.found)
-}
-
 // order gives one order.
 func (p *Planner) order(ctx context.Context, state *service, s *routing.Service, o Order) {
 	place := Place{DataCentre: o.DataCentre, Reclaimable: o.Reclaimable}
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -44,6 +44,8 @@
 	// onDemandShare is the part of the demand that dear on-demand instances are
 	// kept for: engines may be busier for the time that the others are scarce.
 	onDemandShare = 0.85
+	// firstShare is the part of the most instances that a deployment starts with.
+	firstShare = 0.5
 	// refusedFor is how long after a refusal reclaimable instances are taken for scarce.
 	refusedFor = 5 * time.Second
 	// minTotal is the least number of instances of a service.
@@ -84,6 +86,13 @@
 	return fill(want, centres, s, total-sure)
 }
 
+// firstDemand is taken for the demand until the first requests show it: for half
+// of the most reclaimable instances in each data centre.
+func firstDemand(s *routing.Scaling) float64 {
+	centres := len(s.Prices)
+	return firstShare * float64(s.Max*max(0, centres-1)) / (1 + spareShare)
+}
+
 // scarce tells whether the platform has just refused reclaimable instances
 // anywhere: then those that run are all that can be counted on.
 func (o Observation) scarce() bool {
--- a/pkg/scaling/scaling_test.go
+++ b/pkg/scaling/scaling_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,7 +59,8 @@
 		Scaling: prices(), Demand: 7, Now: now,
 		Present: map[Place]int{spot("a"): 3, spot("b"): 1}, Refused: map[Place]time.Time{spot("c"): now.Add(-time.Second)},
 	})
-	g.Expect(want[steady("b")]).To(Equal(6), "the cheapest first: 7 are needed, of which only one may be counted on")
+	needed := int(math.Ceil(7 * onDemandShare))
+	g.Expect(want[steady("b")]).To(Equal(needed-1), "the cheapest first; of those that run only one may be counted on")
 	g.Expect(want[steady("a")] + want[steady("c")] + want[steady("d")]).To(BeZero())
 	later := Plan(Observation{Scaling: prices(), Demand: 7, Now: now, Refused: map[Place]time.Time{spot("c"): now.Add(-refusedFor)}})
 	g.Expect(later[steady("b")]).To(BeZero())
@@ -197,13 +199,28 @@
 			on := 0
 			for _, dc := range []string{"a", "b", "c", "d"} {
 				on += m.have(steady(dc))
-				g.Expect(m.have(spot(dc))).To(BeNumerically(">=", 2))
+				g.Expect(m.have(spot(dc))).To(Equal(3), "half of the most")
 			}
 			g.Expect(on).To(BeZero())
 		})
 	})
 }
 
+// TestAFirstStartWithoutReclaimableOnesKeepsWhatIsThere: nothing is given up for
+// instances that aren't to be had.
+func TestAFirstStartWithoutReclaimableOnesKeepsWhatIsThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		plan(&steadyLoad{}, true, func(m *market) {
+			m.dry = true
+			for range 80 {
+				time.Sleep(100 * time.Millisecond)
+				g.Expect(m.total()).To(BeNumerically(">=", 4))
+			}
+		})
+	})
+}
+
 func TestOnDemandOnesStayUntilOthersServe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/pkg/scaling/service.go
+++ b/pkg/scaling/service.go
@@ -6,9 +6,6 @@
 	// repeatAfter is the time beyond the boot after which an order that shows no
 	// instances is given again.
 	repeatAfter = 3 * time.Second
-	// findTime is how long no further instance must be found at the first start
-	// before some are given up: they register within a heartbeat of each other.
-	findTime = 1300 * time.Millisecond
 	// settleTime is how long a new holder keeps the on-demand instances that it found.
 	settleTime = 10 * time.Second
 	// probeInterval is the time between two orders while the platform refuses them.
@@ -26,9 +23,6 @@
 	at     time.Time
 	// unused is true until the first request ever.
 	unused bool
-	// found holds the instances that were there at the first start.
-	found   map[string]bool
-	foundAt time.Time
 	// since is when this process began to plan for the service.
 	since   time.Time
 	ordered map[Place]order
@@ -46,7 +40,7 @@
 
 func newService(firstStart bool, now time.Time) *service {
 	return &service{
-		unused: firstStart, since: now, found: make(map[string]bool), ordered: make(map[Place]order),
+		unused: firstStart, since: now, ordered: make(map[Place]order),
 		refused: make(map[Place]time.Time), seen: make(map[Place]int), surplus: make(map[Place]time.Time),
 	}
 }
@@ -90,10 +84,8 @@
 // plenty tells whether reclaimable instances are surely to be had: a new holder
 // of the duty doesn't know yet whether they were refused.
 func (s *service) plenty(now time.Time) bool {
-	if s.unused {
-		return now.Sub(s.foundAt) >= findTime
-	}
-	return now.Sub(s.since) >= settleTime && !Observation{Refused: s.refused, Now: now}.scarce()
+	settled := s.unused || now.Sub(s.since) >= settleTime
+	return settled && !Observation{Refused: s.refused, Now: now}.scarce()
 }
 
 // recently tells whether the platform has just refused an order for reclaimable
