--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -105,6 +105,9 @@
 // finish answers a call whose attempts have ended without an answer. What may
 // be said follows from what may have run.
 func (c *call) finish(ctx context.Context, last outcome) {
+	if c.ran == 0 && c.workspace != nil {
+		c.gateway.Allowance.Refund(c.workspace, c.cost())
+	}
 	if c.r.Context().Err() != nil {
 		c.gone()
 		return
@@ -116,9 +119,6 @@
 		c.deliver(c.spare)
 		return
 	}
-	if c.ran == 0 && c.workspace != nil {
-		c.gateway.Allowance.Refund(c.workspace, c.cost())
-	}
 	if c.ran > 0 {
 		status := http.StatusBadGateway
 		if ctx.Err() != nil {
