--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -121,7 +121,7 @@
 	q := s.queue(d.Service)
 	now := s.Now()
 	if !d.Again {
-		s.Asked.add(d.Service, d.work())
+		s.Asked.add(d.Service, d.work(s.slots(d.Service)))
 	}
 	q.mu.Lock()
 	if len(q.waiting) == 0 {
@@ -141,6 +141,15 @@
 	return s.wait(ctx, q, w, limit)
 }
 
+// slots is the number of requests that an engine of a service runs at once; 0 if unknown.
+func (s *Scheduler) slots(service string) int {
+	list := s.Endpoints.Service(service)
+	if len(list) == 0 {
+		return 0
+	}
+	return list[0].Info().Slots
+}
+
 // exhausted tells whether the request has been at all endpoints of its service.
 func (s *Scheduler) exhausted(d Demand) bool {
 	if len(d.Avoid) == 0 {
