--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -27,6 +27,9 @@
 	// firstSpan is the time for which a new account may spend its equal part of
 	// the rate before its peers are heard.
 	firstSpan = 500 * time.Millisecond
+	// assumedDemand is the share of a limit's rate that is assumed to be asked for,
+	// evenly at all instances, when their demands are compared.
+	assumedDemand = 0.25
 	// heardPerTurn is the number of peers that are heard in one turn at most.
 	heardPerTurn = 8
 	// spread is the part of the saved up limit that all instances together may
@@ -244,6 +247,7 @@
 	if !a.told.IsZero() {
 		passed = now.Sub(a.told).Seconds()
 	}
+	share := b.demandShare(a)
 	if passed > 0 {
 		a.rate += rateWeight * (a.spent/passed - a.rate)
 	}
@@ -254,15 +258,20 @@
 		a.spendable = left + a.limit.Rate*passed/float64(max(1, b.Members()))
 		return
 	}
+	a.spendable = max(0, a.level) * min(1, spread*share)
+}
+
+// demandShare is the part of a workspace's demand that comes to this process. Its
+// own newest use doesn't count yet, as the peers' hasn't been told, and a little
+// use is assumed everywhere: after a pause nobody takes itself for the only one.
+func (b *Book) demandShare(a *account) float64 {
+	members := float64(max(1, b.Members()))
+	assumed := assumedDemand * a.limit.Rate / members
 	all := a.rate
 	for _, r := range a.reports {
 		all += r.rate
 	}
-	share := 1 / float64(max(1, b.Members()))
-	if all > 0 {
-		share = max(share, a.rate/all)
-	}
-	a.spendable = max(0, a.level) * min(1, spread*share)
+	return (a.rate + assumed) / (all + assumed*members)
 }
 
 // connected tells whether enough peers told their totals since this process
@@ -299,10 +308,15 @@
 // level; what it used less goes back.
 func (a *account) hear(id string, total float64, now time.Time, fresh, silent bool) {
 	r, ok := a.reports[id]
-	if !ok || fresh {
+	if fresh {
 		a.reports[id] = &report{total: total, at: now}
 		return
 	}
+	if !ok {
+		// The peer told its totals before, and none of this workspace.
+		r = &report{at: now}
+		a.reports[id] = r
+	}
 	used := total - r.total
 	passed := now.Sub(r.at).Seconds()
 	if !silent {
--- a/pkg/allowance/allowance_test.go
+++ b/pkg/allowance/allowance_test.go
@@ -296,3 +296,36 @@
 	}
 	g.Expect(admitted).To(BeNumerically("~", 20*1000/5, 0.1*20*1000/5))
 }
+
+// TestAfterAPauseNobodyTakesItselfForTheOnlyOne has all instances get requests
+// at the same time after a pause in which their rates have faded.
+func TestAfterAPauseNobodyTakesItselfForTheOnlyOne(t *testing.T) {
+	g := NewWithT(t)
+	const rate = 20_000.0
+	w := workspace(rate, rate)
+	f := newFleet(6, w)
+	admitted := 0.0
+	ask := func(rounds int) {
+		for i := range rounds * 6 {
+			if _, ok := f.books[i%6].Take(&w, 3000, false); ok {
+				admitted += 3000
+			}
+		}
+	}
+	for tick := range 400 {
+		f.clock.now = f.clock.now.Add(50 * time.Millisecond)
+		if tick%4 == 0 {
+			f.exchange()
+		}
+		switch {
+		case tick == 150:
+			ask(1) // a rate that fades in the pause
+		case tick >= 300 && tick < 312:
+			if tick == 300 {
+				admitted = 0
+			}
+			ask(6)
+		}
+	}
+	g.Expect(admitted).To(BeNumerically("<=", 3*rate), "what was saved up, the rate of the time, and an overdraft of each")
+}
