--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -13,8 +13,8 @@
 
 // Times of connections.
 const (
-	// dialTimeout bounds the opening of a connection; a healthy one takes milliseconds.
-	dialTimeout = 150 * time.Millisecond
+	// DefaultDialTimeout bounds the opening of a connection; a healthy one takes milliseconds.
+	DefaultDialTimeout = 150 * time.Millisecond
 	// userTimeout is how long sent bytes may stay without acknowledgement.
 	userTimeout = 700 * time.Millisecond
 	// keepAlivePeriod is the silence after which the kernel asks whether the peer lives.
@@ -28,6 +28,8 @@
 // Pool keeps idle connections to endpoints, by address. It is safe for concurrent use.
 type Pool struct {
 	Now func() time.Time
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -35,7 +37,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(now func() time.Time) *Pool {
-	return &Pool{Now: now, idle: make(map[string][]*Conn)}
+	return &Pool{Now: now, DialTimeout: DefaultDialTimeout, idle: make(map[string][]*Conn)}
 }
 
 // Get returns an idle connection or opens one; the error is ErrUnsent.
@@ -76,7 +78,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	d := net.Dialer{Timeout: p.DialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2,
 	}}
 	c, err := d.DialContext(ctx, "tcp", addr)
