--- a/pkg/endpoints/endpoint.go
+++ b/pkg/endpoints/endpoint.go
@@ -58,7 +58,6 @@
 	own    Load
 	peers  Load
 	health health
-	speed  speed
 	// left closes when the endpoint stops taking work.
 	left     chan struct{}
 	leftOnce sync.Once
--- a/pkg/endpoints/health.go
+++ b/pkg/endpoints/health.go
@@ -74,29 +74,3 @@
 	defer e.mu.Unlock()
 	return e.health.rate
 }
-
-// speedWeight is the weight of the newest observation of the speed.
-const speedWeight = 0.1
-
-// speed is the moving ratio of observed to expected times; 0 while unknown.
-type speed struct{ ratio float64 }
-
-// Observe records how long an answer took, as a multiple of the expected time.
-func (e *Endpoint) Observe(ratio float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.speed.ratio == 0 {
-		e.speed.ratio = 1
-	}
-	e.speed.ratio += speedWeight * (min(ratio, 10) - e.speed.ratio)
-}
-
-// Slowness returns the moving ratio of observed to expected times, 1 while unknown.
-func (e *Endpoint) Slowness() float64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.speed.ratio == 0 {
-		return 1
-	}
-	return e.speed.ratio
-}
--- a/pkg/schedule/choose.go
+++ b/pkg/schedule/choose.go
@@ -75,8 +75,7 @@
 	if d.Prompt > 0 {
 		perRequest = streamTime
 	}
-	work := time.Duration(total.Prompt+c.uncached)*tokenTime + time.Duration(total.Running)*perRequest
-	c.start = time.Duration(float64(work) * e.Slowness())
+	c.start = time.Duration(total.Prompt+c.uncached)*tokenTime + time.Duration(total.Running)*perRequest
 	c.cost = c.start + time.Duration(e.FailureRate()*float64(failureCost))
 	return c
 }
