Forget a peer's reports of an allowance when it restarts

Cause: a peer that restarts tells no total of a workspace until it admits something; its earlier report stayed, and the first small total of the new start was taken for a refund of the whole difference. Ruled out: cut and healed instances (their levels stayed below 0). Test: TestARestartedPeerBeginsAnew fails without the change (390 instead of -49,400).

--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -293,6 +293,7 @@
 	if fresh {
 		p = &peer{boot: boot}
 		b.peers[id] = p
+		b.dropReports(id)
 	}
 	for name, total := range totals {
 		if a, ok := b.accounts[name]; ok {
@@ -336,8 +337,14 @@
 			continue
 		}
 		delete(b.peers, id)
-		for _, a := range b.accounts {
-			delete(a.reports, id)
-		}
+		b.dropReports(id)
+	}
+}
+
+// dropReports forgets what an earlier start of a peer told: the totals of the
+// next one begin anew.
+func (b *Book) dropReports(id string) {
+	for _, a := range b.accounts {
+		delete(a.reports, id)
 	}
 }
--- a/pkg/allowance/allowance_test.go
+++ b/pkg/allowance/allowance_test.go
@@ -329,3 +329,21 @@
 	}
 	g.Expect(admitted).To(BeNumerically("<=", 3*rate), "what was saved up, the rate of the time, and an overdraft of each")
 }
+
+// TestARestartedPeerBeginsAnew has a peer restart that told a large total: its
+// next small one is no refund.
+func TestARestartedPeerBeginsAnew(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{now: time.Unix(0, 0)}
+	b := newBook(c, 2)
+	w := workspace(1000, 1000)
+	b.Open([]routing.Workspace{w})
+	b.Heard("p", 1, nil)
+	b.Heard("p", 1, map[string]float64{"w1": 50_000})
+	c.now = c.now.Add(200 * time.Millisecond)
+	before := b.accounts["w1"].level
+	b.Heard("p", 2, nil)
+	c.now = c.now.Add(200 * time.Millisecond)
+	b.Heard("p", 2, map[string]float64{"w1": 10})
+	g.Expect(b.accounts["w1"].level).To(BeNumerically("<=", before+400), "only its rate is added")
+}
