Let only ready instances stand for the duties, and hand them over at a planned stop

Cause: the two candidates were the first two by rank among all that were heard. In a rolling stop these were the stopping ones, which don't take the lease, so nobody held it for 11 s; the window that ended meanwhile came late, and the next one lacked what the stopped instances had counted. Ruled out: the lease itself (its lapse was seen after 3.3 s), lost counts of the holder (stored each 300 ms). Change: messages tell readiness, ranks count the ready ones; a holder that stops gives the lease up if it held it for a whole duration, so that the holder before can't act twice around it. Tests: TestPeersThatAreNotReadyHaveNoRank fails without the change; TestAShortHoldIsNotGivenUp.

--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -28,6 +29,9 @@
 	leasePolls = 4
 	// candidates is the number of instances that are ready to take the duties over.
 	candidates = 2
+	// handOverTime bounds the write that gives the lease up; it is part of the
+	// grace of a planned stop.
+	handOverTime = 150 * time.Millisecond
 )
 
 // takeDuties sets up the duties that one instance at a time carries out.
@@ -35,7 +39,7 @@
 	duration := time.Duration(p.cfg.LeaseMS)*time.Millisecond + leaseSlack
 	p.duty = lease.New(lease.Options{
 		Config: lease.Config{
-			Self: p.usage.Source, Duration: duration, Poll: duration / leasePolls,
+			Self: p.usage.Source, Duration: duration, Poll: duration / leasePolls, MinHold: duration,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), WriteID: uuid.NewString,
 		},
 		Duty: dutyName, Store: p.store, Log: p.log, Now: time.Now,
@@ -49,6 +53,16 @@
 	})
 }
 
+// handOverDuties gives the lease up at the end of a planned stop, so that the
+// duties don't wait until it lapses.
+func (p *process) handOverDuties() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
+	defer cancel()
+	if err := p.duty.Release(ctx); err != nil {
+		p.log.Warn("duties not handed over", "error", err.Error())
+	}
+}
+
 // dutyActors returns the actors of the duties that the platform asks for.
 func (p *process) dutyActors() []actors.Actor {
 	wanted := []actors.Actor{p.duty.Run}
--- a/cmd/medlarsill-gateway/main.go
+++ b/cmd/medlarsill-gateway/main.go
@@ -19,8 +19,13 @@
 	out := logging.NewAsync(os.Stdout)
 	log := logging.New(cfg.Log, out)
 	p := newProcess(cfg, file, log)
-	if err := p.run(out); err != nil {
+	err := p.run(out)
+	if err != nil {
 		log.Error("stopped", "error", err.Error())
+	}
+	// Standard output may be gone at the end; there is nowhere left to tell it.
+	_ = out.Flush()
+	if err != nil {
 		os.Exit(settings.ExitFailure)
 	}
 }
--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -38,6 +38,7 @@
 // fill adds this instance's state to a message.
 func (p *process) fill(m *gossip.Message) {
 	m.WallMS = time.Now().UnixMilli()
+	m.Ready = p.ready()
 	if t := p.config.Current(); t != nil {
 		m.Config = t.Version
 	}
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -171,7 +171,9 @@
 		func(ctx context.Context) error { return httpserver.Run(ctx, ready, 0) },
 		func(ctx context.Context) error { return httpserver.Run(ctx, metrics, 0) },
 	}
-	return actors.Run(append(components, p.dutyActors()...)...)
+	err := actors.Run(append(components, p.dutyActors()...)...)
+	p.handOverDuties()
+	return err
 }
 
 func (p *process) serve(ctx context.Context) error {
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -1,18 +1,21 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/medlarsill/medlarsill/pkg/objectstore/memstore"
+	"github.com/medlarsill/medlarsill/pkg/rendezvous"
 )
 
 var discard = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -109,7 +112,7 @@
 		n := newNode(name, &now)
 		for _, other := range names {
 			if other != name {
-				n.take(Message{ID: other, Boot: 1, Seq: 1}, address(2))
+				n.take(Message{ID: other, Boot: 1, Seq: 1, Ready: true}, address(2))
 			}
 		}
 		seen[n.Rank()] = true
@@ -187,3 +190,21 @@
 	defer c.Close()
 	return c.LocalAddr().(*net.UDPAddr).AddrPort()
 }
+
+// TestPeersThatAreNotReadyHaveNoRank is a rolling stop: those that stop would
+// otherwise keep the first ranks, and nobody would take the duties over.
+func TestPeersThatAreNotReadyHaveNoRank(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	names := []string{"a", "b", "c", "d"}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rendezvous.Key(a), rendezvous.Key(b)) })
+	last := newNode(names[3], &now)
+	for _, other := range names[:3] {
+		last.take(Message{ID: other, Boot: 1, Seq: 1, Ready: true}, address(2))
+	}
+	g.Expect(last.Rank()).To(Equal(3))
+	for _, other := range names[:3] {
+		last.take(Message{ID: other, Boot: 1, Seq: 2}, address(2))
+	}
+	g.Expect(last.Rank()).To(BeZero())
+}
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -34,6 +34,8 @@
 	WallMS int64 `cbor:"4,keyasint"`
 	// Config is the version of the configuration in force at the sender.
 	Config uint64 `cbor:"5,keyasint"`
+	// Ready is true if the sender takes new callers, and would take duties.
+	Ready bool `cbor:"10,keyasint,omitempty"`
 	// Load holds the work under way by endpoint; an endpoint without any is left out.
 	Load map[string]Load `cbor:"6,keyasint"`
 	// Totals holds what the sender has admitted since its start, by workspace.
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -56,6 +56,8 @@
 	seq   uint64
 	heard time.Time
 	lost  bool
+	// ready tells whether it takes new callers.
+	ready bool
 }
 
 // NewNode returns a node that knows no peers.
@@ -78,8 +80,8 @@
 	return time.Duration(lostIntervals*turns) * Interval
 }
 
-// Rank is this instance's place among those that are heard, by a hash of their
-// ids; 0 is the first. An instance that hears nobody is the first.
+// Rank is this instance's place among the ready ones that are heard, by a hash of
+// their ids; 0 is the first. An instance that hears nobody is the first.
 func (n *Node) Rank() int {
 	silence := n.Silence()
 	n.mu.Lock()
@@ -87,7 +89,7 @@
 	own := rendezvous.Key(n.ID)
 	rank := 0
 	for id, p := range n.peers {
-		if n.Now().Sub(p.heard) <= silence && rendezvous.Key(id) < own {
+		if p.ready && n.Now().Sub(p.heard) <= silence && rendezvous.Key(id) < own {
 			rank++
 		}
 	}
@@ -195,7 +197,7 @@
 	if p.boot != m.Boot || p.lost {
 		n.Log.Info("peer heard", "peer", m.ID, "restarted", p.boot != 0 && p.boot != m.Boot, "config", m.Config)
 	}
-	p.addr, p.boot, p.seq, p.heard, p.lost = from, m.Boot, m.Seq, n.Now(), false
+	p.addr, p.boot, p.seq, p.heard, p.lost, p.ready = from, m.Boot, m.Seq, n.Now(), false, m.Ready
 	return true
 }
 
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -72,3 +72,29 @@
 		running.Wait()
 	})
 }
+
+// TestAShortHoldIsNotGivenUp keeps a holder from acting twice around another
+// one within the duration of a lease.
+func TestAShortHoldIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := memstore.New()
+		for _, held := range []time.Duration{DefaultDuration / 2, 2 * DefaultDuration} {
+			a := newLease(store, fmt.Sprint(held))
+			a.machine.MinHold = DefaultDuration
+			ctx, stop := context.WithCancel(t.Context())
+			var running sync.WaitGroup
+			running.Go(func() { _ = a.Run(ctx) })
+			g.Eventually(func() bool { _, ok := a.Held(); return ok }, time.Minute).Should(BeTrue())
+			time.Sleep(held)
+			stop()
+			running.Wait()
+			g.Expect(a.Release(t.Context())).To(Succeed())
+			_, ok := a.Held()
+			g.Expect(ok).To(BeFalse(), "it stops acting either way")
+			s, err := load(t.Context(), store, a.key())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(s.Released).To(Equal(held >= DefaultDuration))
+		}
+	})
+}
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -78,6 +78,9 @@
 	// Poll is how often a process that doesn't hold the lease reads it; 0 means
 	// once in a duration.
 	Poll time.Duration
+	// MinHold is the least time of a hold that may be given up. Shorter ones lapse,
+	// so that the holder before can't follow at once.
+	MinHold time.Duration
 	Rand *rand.Rand
 	// WriteID returns a new unique string at each call.
 	WriteID func() string
@@ -171,12 +174,13 @@
 	return Action{Kind: Write, Record: r, Version: m.seen.Version}
 }
 
-// Release returns the write that gives the lease up; false if it isn't held.
+// Release returns the write that gives the lease up; false if it isn't held, or
+// not for as long as MinHold asks.
 // The caller has ended all work under it. This process stops acting at once.
 func (m *Machine) Release(now time.Time) (Action, bool) {
 	fence, _, ok := m.Held(now)
 	m.fence = 0
-	if !ok {
+	if !ok || now.Sub(m.acquired) < m.MinHold {
 		return Action{}, false
 	}
 	return m.write(now, fence, true), true
--- a/pkg/logging/async.go
+++ b/pkg/logging/async.go
@@ -42,12 +42,13 @@
 				return err
 			}
 		case <-ctx.Done():
-			return a.flush()
+			return a.Flush()
 		}
 	}
 }
 
-func (a *Async) flush() error {
+// Flush writes the lines that wait. It must not run beside Run.
+func (a *Async) Flush() error {
 	for {
 		select {
 		case line := <-a.lines:
