Start allowances with a credit, and greet peers that have just started

Cause: accounts started empty and grew by one instance's part of the rate until peers were heard, up to 0.4 s later; after a loss of all instances nearly every request was told that its allowance was used up, and a caller tries twice only. Change: a new account holds a part of the allowed slack; messages go at once to peers that have just started or become known.

--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -49,6 +49,9 @@
 	poolSweep = 2 * time.Second
 	// allowanceShare is the part of the allowed excess over a limit that is used.
 	allowanceShare = 0.5
+	// creditShare is the part of the allowed slack that new accounts hold: all
+	// instances may start twice in the span over which a limit is measured.
+	creditShare = 0.4
 )
 
 // process holds the components of one gateway process.
@@ -94,7 +97,7 @@
 	p.follower = endpoints.NewFollower(endpoints.FollowerOptions{Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Log: log, Now: time.Now})
 	p.scheduler = schedule.New(p.table, places, time.Now)
 	p.joinPeers()
-	p.book = allowance.New(allowance.Options{Over: allowanceShare * cfg.AllowanceOver, Now: time.Now, Silence: p.node.Silence, Members: p.node.Members})
+	p.book = allowance.New(allowance.Options{Over: allowanceShare * cfg.AllowanceOver, Credit: creditShare * cfg.AllowanceSlack, Now: time.Now, Silence: p.node.Silence, Members: p.node.Members})
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.book,
 		Retries: retry.NewShared(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage,
--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -44,7 +44,10 @@
 type Options struct {
 	// Over is the share by which all instances together exceed a limit.
 	Over float64
-	Now  func() time.Time
+	// Credit is what a new account holds: what all instances together may admit
+	// beyond a limit when they have just started and know of no use.
+	Credit float64
+	Now    func() time.Time
 	// Silence is how long a peer may be silent before it is assumed to use an equal share.
 	Silence func() time.Duration
 	// Members is the number of instances, this one included.
@@ -157,7 +160,8 @@
 }
 
 // account returns a workspace's account under its present limit. A new account
-// starts empty: what was admitted before this process started isn't known.
+// holds no more than the credit: what was admitted before this process started
+// isn't known.
 func (b *Book) account(w *routing.Workspace, now time.Time) *account {
 	a, ok := b.accounts[w.Name]
 	if !ok {
@@ -170,7 +174,8 @@
 		a.level = min(a.level, b.capacity(a))
 	}
 	if !ok {
-		a.spendable = w.Rate * firstSpan.Seconds() / float64(max(1, b.Members()))
+		a.level = min(b.Credit, b.capacity(a))
+		a.spendable = (w.Rate*firstSpan.Seconds() + spread*a.level) / float64(max(1, b.Members()))
 	}
 	return a
 }
--- a/pkg/allowance/allowance_test.go
+++ b/pkg/allowance/allowance_test.go
@@ -20,8 +20,11 @@
 
 func (c *clock) Now() time.Time { return c.now }
 
-func newBook(c *clock, members int) *Book {
-	return New(Options{Now: c.Now, Silence: func() time.Duration { return silence }, Members: func() int { return members }})
+func newBook(c *clock, members int) *Book { return newBookWith(c, members, 0) }
+
+// newBookWith returns a book whose accounts start with a credit.
+func newBookWith(c *clock, members int, credit float64) *Book {
+	return New(Options{Credit: credit, Now: c.Now, Silence: func() time.Duration { return silence }, Members: func() int { return members }})
 }
 
 func workspace(rate, burst float64) routing.Workspace {
@@ -148,9 +151,11 @@
 
 // fleet is a group of instances that share one limit.
 type fleet struct {
-	clock *clock
-	books []*Book
-	boots []uint64
+	clock  *clock
+	limit  routing.Workspace
+	credit float64
+	books  []*Book
+	boots  []uint64
 	// cut holds the instances that neither hear nor are heard.
 	cut map[int]bool
 	// admitted holds the cost admitted in all, and when.
@@ -162,18 +167,25 @@
 	cost float64
 }
 
-func newFleet(n int, w routing.Workspace) *fleet {
-	f := &fleet{clock: &clock{now: time.Unix(1000, 0)}, cut: make(map[int]bool)}
-	for range n {
-		f.books = append(f.books, newBook(f.clock, n))
-		f.boots = append(f.boots, 1)
-	}
-	for _, b := range f.books {
-		b.Open([]routing.Workspace{w})
+func newFleet(n int, w routing.Workspace) *fleet { return newFleetWith(n, w, 0) }
+
+func newFleetWith(n int, w routing.Workspace, credit float64) *fleet {
+	f := &fleet{clock: &clock{now: time.Unix(1000, 0)}, limit: w, credit: credit, cut: make(map[int]bool)}
+	f.books = make([]*Book, n)
+	f.boots = make([]uint64, n)
+	for i := range n {
+		f.restart(i)
 	}
 	return f
 }
 
+// restart has an instance start anew.
+func (f *fleet) restart(i int) {
+	f.boots[i]++
+	f.books[i] = newBookWith(f.clock, len(f.books), f.credit)
+	f.books[i].Open([]routing.Workspace{f.limit})
+}
+
 // exchange has all connected instances tell each other their totals.
 func (f *fleet) exchange() {
 	for i, from := range f.books {
@@ -212,11 +224,13 @@
 		over, slack = 0.1, 140_000.0
 		step        = 50 * time.Millisecond
 		ticks       = 400
+		credit      = 0.4 * slack
 	)
 	rapid.Check(t, func(t *rapid.T) {
 		w := workspace(rate, burst)
 		n := rapid.IntRange(2, 8).Draw(t, "instances")
-		f := newFleet(n, w)
+		f := newFleetWith(n, w, credit)
+		allRestart := rapid.IntRange(0, ticks).Draw(t, "all restart at")
 		demand := 0
 		for tick := range ticks {
 			f.clock.now = f.clock.now.Add(step)
@@ -228,9 +242,12 @@
 				case 1:
 					delete(f.cut, who)
 				case 2:
-					f.boots[who]++
-					f.books[who] = newBook(f.clock, n)
-					f.books[who].Open([]routing.Workspace{w})
+					f.restart(who)
+				}
+			}
+			if tick == allRestart {
+				for i := range f.books {
+					f.restart(i)
 				}
 			}
 			if tick%4 == 0 {
@@ -347,3 +364,23 @@
 	b.Heard("p", 2, map[string]float64{"w1": 10})
 	g.Expect(b.accounts["w1"].level).To(BeNumerically("<=", before+400), "only its rate is added")
 }
+
+// TestAfterALossOfAllTheCreditIsSpentOnce has all instances start anew while
+// callers come back: some are served before the instances have heard each other.
+func TestAfterALossOfAllTheCreditIsSpentOnce(t *testing.T) {
+	g := NewWithT(t)
+	const rate, credit = 20_000.0, 12_000.0
+	f := newFleetWith(6, workspace(rate, rate), credit)
+	first := 0.0
+	for tick := range 4 {
+		f.clock.now = f.clock.now.Add(50 * time.Millisecond)
+		for i := range 60 {
+			if _, ok := f.books[i%6].Take(&f.limit, 500, false); ok {
+				first += 500
+			}
+		}
+		_ = tick
+	}
+	g.Expect(first).To(BeNumerically(">=", credit))
+	g.Expect(first).To(BeNumerically("<=", 1.2*credit+0.2*rate+6*500))
+}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -208,3 +208,19 @@
 	}
 	g.Expect(last.Rank()).To(BeZero())
 }
+
+// TestNewcomersGetAMessageAtOnce: an instance that starts hears its peers before
+// their next turns.
+func TestNewcomersGetAMessageAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	n := newNode("a", &now)
+	n.SetMembers(map[string]netip.AddrPort{"a": address(1), "b": address(2)})
+	g.Expect(n.newcomers).To(Receive(Equal(address(2))), "a peer that has just become known")
+	n.take(Message{ID: "b", Boot: 5, Seq: 1}, address(2))
+	g.Expect(n.newcomers).To(Receive(Equal(address(2))), "a start that hasn't been heard")
+	n.take(Message{ID: "b", Boot: 5, Seq: 2}, address(2))
+	g.Expect(n.newcomers).NotTo(Receive())
+	n.take(Message{ID: "b", Boot: 6, Seq: 1}, address(3))
+	g.Expect(n.newcomers).To(Receive(Equal(address(3))), "a restart at another address")
+}
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -22,6 +22,9 @@
 	fanoutShare = 4
 	// lostIntervals is the number of turns without a message after which a peer is silent.
 	lostIntervals = 4
+	// maxNewcomers is the number of newcomers that may wait for a message; others
+	// get one in their turn.
+	maxNewcomers = 64
 )
 
 // Options holds what a node is made of. All fields are needed.
@@ -47,6 +50,9 @@
 	members int
 	turn    int
 	seq     uint64
+	// newcomers holds the addresses of peers that have just started or just become
+	// known: they get this instance's newest message at once.
+	newcomers chan netip.AddrPort
 }
 
 // peer is another instance.
@@ -62,7 +68,7 @@
 
 // NewNode returns a node that knows no peers.
 func NewNode(o Options) *Node {
-	return &Node{Options: o, peers: make(map[string]*peer), members: 1}
+	return &Node{Options: o, peers: make(map[string]*peer), members: 1, newcomers: make(chan netip.AddrPort, maxNewcomers)}
 }
 
 // Members is the number of instances that exist, this one included.
@@ -131,6 +137,7 @@
 			continue
 		}
 		n.peers[id] = &peer{addr: addr}
+		n.greet(addr)
 	}
 	silent := time.Duration(lostIntervals) * Interval
 	for id, p := range n.peers {
@@ -197,25 +204,62 @@
 	if p.boot != m.Boot || p.lost {
 		n.Log.Info("peer heard", "peer", m.ID, "restarted", p.boot != 0 && p.boot != m.Boot, "config", m.Config)
 	}
+	if p.boot != m.Boot {
+		n.greet(from)
+	}
 	p.addr, p.boot, p.seq, p.heard, p.lost, p.ready = from, m.Boot, m.Seq, n.Now(), false, m.Ready
 	return true
 }
 
+// greet has a peer get the newest message at once. The lock is held.
+func (n *Node) greet(addr netip.AddrPort) {
+	select {
+	case n.newcomers <- addr:
+	default:
+	}
+}
+
 func (n *Node) send(ctx context.Context, conn *net.UDPConn) {
-	for sleep.For(ctx, Interval) {
-		n.seq++
-		m := Message{ID: n.ID, Boot: n.Boot, Seq: n.seq}
-		n.Fill(&m)
-		data, err := encode(m)
-		if err != nil {
-			n.Log.Error("message not sent", "error", err.Error())
-			continue
-		}
-		for _, addr := range n.targets() {
-			// A datagram that can't be sent is as good as a lost one.
-			_, _ = conn.WriteToUDPAddrPort(data, addr)
+	turn := time.NewTicker(Interval)
+	defer turn.Stop()
+	var newest []byte
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case addr := <-n.newcomers:
+			if newest == nil {
+				newest = n.message(nil)
+			}
+			write(conn, newest, addr)
+		case <-turn.C:
+			newest = n.message(newest)
+			for _, addr := range n.targets() {
+				write(conn, newest, addr)
+			}
+			n.noteLost()
 		}
-		n.noteLost()
+	}
+}
+
+// message returns this instance's next message, or the last one if there is none.
+func (n *Node) message(last []byte) []byte {
+	n.seq++
+	m := Message{ID: n.ID, Boot: n.Boot, Seq: n.seq}
+	n.Fill(&m)
+	data, err := encode(m)
+	if err != nil {
+		n.Log.Error("message not sent", "error", err.Error())
+		return last
+	}
+	return data
+}
+
+// write sends a datagram, if there is one yet. One that can't be sent is as good
+// as a lost one.
+func write(conn *net.UDPConn, data []byte, to netip.AddrPort) {
+	if data != nil {
+		_, _ = conn.WriteToUDPAddrPort(data, to)
 	}
 }
 
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -81,7 +81,7 @@
 	// MinHold is the least time of a hold that may be given up. Shorter ones lapse,
 	// so that the holder before can't follow at once.
 	MinHold time.Duration
-	Rand *rand.Rand
+	Rand    *rand.Rand
 	// WriteID returns a new unique string at each call.
 	WriteID func() string
 }
--- a/pkg/settings/types.go
+++ b/pkg/settings/types.go
@@ -154,6 +154,9 @@
 	// AllowanceOver is the share by which all instances together may exceed the
 	// workspaces' limits.
 	AllowanceOver float64 `json:"allowance_over"`
+	// AllowanceSlack is what they may admit beyond that in any span over which a
+	// limit is measured, in the limits' unit.
+	AllowanceSlack float64 `json:"allowance_slack"`
 	// UsageWindowS is the length of a usage window in seconds.
 	UsageWindowS float64 `json:"usage_window_s"`
 	Log          Log     `json:"log"`
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -173,6 +173,7 @@
 	v.require(s.LeaseMS > 0, "lease_ms", "must be positive")
 	v.require(s.RetryShare >= 0 && s.RetryExtra >= 0, "retry_share", "retry_share and retry_extra must not be negative")
 	v.require(s.AllowanceOver >= 0, "allowance_over", "must not be negative")
+	v.require(s.AllowanceSlack >= 0, "allowance_slack", "must not be negative")
 	for _, t := range []struct {
 		field   string
 		seconds float64
