Open allowances with what was saved up while nobody was at work

Cause: after a loss of all instances accounts began nearly empty, although nobody had used them for a second or more; callers were told that their allowance was used up, twice, and left. Change: the holder of the duties stores the time with its state, three times a second; an instance that starts reads it, and its accounts hold what the limit saved up since. A peer that was at work all the while ends this, and what peers that started since have used comes off.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"time"
@@ -12,6 +13,14 @@
 	"github.com/medlarsill/medlarsill/pkg/usage"
 )
 
+const (
+	// restTimeout bounds the read of when instances were last at work.
+	restTimeout = 300 * time.Millisecond
+	// restMargin is how long after the holder of the duties last stored its state
+	// instances may still have been at work: it stores it three times a second.
+	restMargin = 500 * time.Millisecond
+)
+
 // joinPeers sets up what this instance tells its peers and hears of them.
 func (p *process) joinPeers() {
 	boot := uint64(time.Now().UnixNano())
@@ -32,6 +41,30 @@
 	}}
 }
 
+// runPeers finds out how long the system was idle, and then talks to the peers.
+func (p *process) runPeers(ctx context.Context) error {
+	p.noteRest(ctx)
+	return p.node.Run(ctx)
+}
+
+// noteRest opens the allowances with what they saved up while no instance was at
+// work, as far as the store shows it.
+func (p *process) noteRest(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, restTimeout)
+	defer cancel()
+	saved, err := usage.LastSaved(ctx, p.store)
+	if err != nil {
+		p.log.Warn("time of the last work not read", "error", err.Error())
+		return
+	}
+	if saved.IsZero() {
+		return
+	}
+	since := saved.Add(restMargin)
+	p.book.Rested(since)
+	p.log.Info("time of the last work read", "idle_ms", time.Since(since).Milliseconds())
+}
+
 // source names one start of an instance in the usage.
 func source(id string, boot uint64) string { return fmt.Sprintf("%s/%d", id, boot) }
 
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -168,7 +168,7 @@
 		p.follower.Run,
 		p.ingress.Sweep,
 		p.sweepPool,
-		p.node.Run,
+		p.runPeers,
 		p.registry.Run,
 		p.serve,
 		func(ctx context.Context) error { return httpserver.Run(ctx, ready, 0) },
--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -26,7 +26,7 @@
 	lateShare = 0.3
 	// firstSpan is the time for which a new account may spend its equal part of
 	// the rate before its peers are heard.
-	firstSpan = 500 * time.Millisecond
+	firstSpan = 300 * time.Millisecond
 	// assumedDemand is the share of a limit's rate that is assumed to be asked for,
 	// evenly at all instances, when their demands are compared.
 	assumedDemand = 0.25
@@ -62,6 +62,11 @@
 	peers    map[string]*peer
 	// heard holds the peers that told their totals since this process told its own.
 	heard map[string]bool
+	// idleSince is since when no instance has admitted anything, as far as is
+	// known; zero if others may have been at work all the while.
+	idleSince time.Time
+	// began is when this process started.
+	began time.Time
 }
 
 // peer is another instance that has told its totals.
@@ -101,7 +106,7 @@
 
 // New returns an empty book.
 func New(o Options) *Book {
-	return &Book{Options: o, accounts: make(map[string]*account), peers: make(map[string]*peer), heard: make(map[string]bool)}
+	return &Book{Options: o, accounts: make(map[string]*account), peers: make(map[string]*peer), heard: make(map[string]bool), began: o.Now()}
 }
 
 // Take counts a request of a cost against its workspace's limit, or tells when
@@ -174,18 +179,62 @@
 		a.level = min(a.level, b.capacity(a))
 	}
 	if !ok {
-		a.level = min(b.Credit, b.capacity(a))
-		a.spendable = (w.Rate*firstSpan.Seconds() + spread*a.level) / float64(max(1, b.Members()))
+		a.level = min(max(b.Credit, b.saved(w.Rate, now)), b.capacity(a))
+		a.spendable = b.firstSpendable(a)
 	}
 	return a
 }
 
+// saved is what a limit has saved up while no instance was at work.
+func (b *Book) saved(rate float64, now time.Time) float64 {
+	if b.idleSince.IsZero() {
+		return 0
+	}
+	return rate * max(0, now.Sub(b.idleSince).Seconds())
+}
+
+// firstSpendable is what this process may spend of a new account until it tells
+// its peers: its equal part, and no more of what seems saved up than the credit.
+func (b *Book) firstSpendable(a *account) float64 {
+	members := float64(max(1, b.Members()))
+	return a.limit.Rate*firstSpan.Seconds()/members + min(a.level/members, b.Credit)
+}
+
+// Rested tells that no instance was at work from a time until this process
+// started: the accounts have saved up since. A peer that turns out to have
+// been at work ends this.
+func (b *Book) Rested(since time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Now()
+	if len(b.peers) > 0 || !since.Before(now) {
+		return
+	}
+	b.idleSince = since
+	for _, a := range b.accounts {
+		b.settle(a, now)
+		a.level = min(max(a.level, b.saved(a.limit.Rate, now)), b.capacity(a))
+		a.spendable = max(a.spendable, b.firstSpendable(a))
+	}
+}
+
+// atWork takes the news that a peer was at work while nobody seemed to be: what
+// it admitted isn't known, so that no more than the credit is left.
+func (b *Book) atWork() {
+	b.idleSince = time.Time{}
+	for _, a := range b.accounts {
+		a.level = min(a.level, b.Credit)
+		a.spendable = min(a.spendable, a.spent+b.firstSpendable(a))
+	}
+}
+
 func (b *Book) capacity(a *account) float64 {
 	return max(a.limit.Burst, a.limit.Rate/4) * (1 + b.Over)
 }
 
 // settle brings an account to the present: it gains its rate and loses what
-// peers are assumed to use.
+// peers are assumed to use. What is saved up is kept for the instances that can
+// be heard only, as the others save up their own.
 func (b *Book) settle(a *account, now time.Time) {
 	passed := now.Sub(a.at).Seconds()
 	if passed <= 0 {
@@ -193,33 +242,49 @@
 	}
 	a.at = now
 	rate := a.limit.Rate * (1 + b.Over)
-	use := b.assume(a, rate, passed, now)
-	a.level = min(a.level+rate*passed-use, b.capacity(a))
+	members := max(1, b.Members())
+	silent := b.silent(members, now)
+	use := b.reported(a, passed, now) + float64(silent)*rate/float64(members)*passed
+	if silent > a.silent && a.level > 0 {
+		// What is saved up belongs in equal parts to those that can't be heard.
+		use += a.level * float64(silent-a.silent) / float64(members)
+	}
+	a.silent = silent
+	within := b.capacity(a) * float64(members-silent) / float64(members)
+	a.level = min(a.level+rate*passed-use, within)
+}
+
+// silent is the number of peers that can't be heard. Those that have not been
+// heard since this process started count only after the time in which they would.
+func (b *Book) silent(members int, now time.Time) int {
+	silence := b.Silence()
+	heard, lost := 0, 0
+	for _, p := range b.peers {
+		if now.Sub(p.heard) <= silence {
+			heard++
+		} else {
+			lost++
+		}
+	}
+	if now.Sub(b.began) <= silence {
+		return min(lost, members-1)
+	}
+	return max(0, members-1-heard)
 }
 
-// assume returns what the peers are assumed to use of an account in a time.
-func (b *Book) assume(a *account, rate, passed float64, now time.Time) float64 {
-	others := max(0, b.Members()-1)
-	share := rate / float64(others+1)
+// reported is what the peers that can be heard are assumed to use of an account in a time.
+func (b *Book) reported(a *account, passed float64, now time.Time) float64 {
 	silence := b.Silence()
-	use, heard := 0.0, 0
+	use := 0.0
 	for id, p := range b.peers {
-		if now.Sub(p.heard) > silence {
+		r, ok := a.reports[id]
+		if !ok || now.Sub(p.heard) > silence {
 			continue
 		}
-		heard++
-		if r, ok := a.reports[id]; ok {
-			r.assumed += r.rate * passed
-			use += r.rate * passed
-		}
+		r.assumed += r.rate * passed
+		use += r.rate * passed
 	}
-	silent := max(0, others-heard)
-	if silent > a.silent && a.level > 0 {
-		// What is saved up belongs in equal parts to those that can't be heard.
-		use += a.level * float64(silent-a.silent) / float64(others+1)
-	}
-	a.silent = silent
-	return use + share*passed*float64(silent)
+	return use
 }
 
 // Totals returns what this process has admitted since its start, by workspace,
@@ -293,28 +358,45 @@
 	now := b.Now()
 	b.heard[id] = true
 	p, known := b.peers[id]
-	fresh := !known || p.boot != boot
 	silent := known && now.Sub(p.heard) > b.Silence()
-	if fresh {
-		p = &peer{boot: boot}
-		b.peers[id] = p
-		b.dropReports(id)
+	untold := false
+	if !known || p.boot != boot {
+		untold = b.started(id, boot, known)
+		p, silent = b.peers[id], false
 	}
 	for name, total := range totals {
 		if a, ok := b.accounts[name]; ok {
 			b.settle(a, now)
-			a.hear(id, total, now, fresh, silent)
+			a.hear(id, total, now, untold, silent)
 		}
 	}
 	p.heard = now
 	b.forget(now)
 }
 
+// started notes a start of a peer that hasn't been heard yet. It returns true if
+// the peer's total so far says nothing of the time since this process started.
+func (b *Book) started(id string, boot uint64, known bool) (untold bool) {
+	b.peers[id] = &peer{boot: boot}
+	b.dropReports(id)
+	if known {
+		return false
+	}
+	if b.idleSince.IsZero() {
+		return true
+	}
+	if time.Unix(0, int64(boot)).Before(b.idleSince) {
+		b.atWork()
+		return true
+	}
+	return false
+}
+
 // hear takes a peer's total. What it used beyond the assumption comes off the
 // level; what it used less goes back.
-func (a *account) hear(id string, total float64, now time.Time, fresh, silent bool) {
+func (a *account) hear(id string, total float64, now time.Time, untold, silent bool) {
 	r, ok := a.reports[id]
-	if fresh {
+	if untold {
 		a.reports[id] = &report{total: total, at: now}
 		return
 	}
--- a/pkg/allowance/allowance_test.go
+++ b/pkg/allowance/allowance_test.go
@@ -181,7 +181,7 @@
 
 // restart has an instance start anew.
 func (f *fleet) restart(i int) {
-	f.boots[i]++
+	f.boots[i] = uint64(f.clock.now.UnixNano())
 	f.books[i] = newBookWith(f.clock, len(f.books), f.credit)
 	f.books[i].Open([]routing.Workspace{f.limit})
 }
@@ -218,8 +218,15 @@
 // whoever is cut off, comes back or restarts, what all instances together admit
 // in a window stays within the limit and the allowed excess.
 func TestTheLimitHoldsOverAllInstances(t *testing.T) {
+	t.Run("small workspace", func(t *testing.T) { checkLimit(t, 20_000, 3000) })
+	t.Run("large workspace", func(t *testing.T) { checkLimit(t, 320_000, 12_000) })
+}
+
+// checkLimit checks the property for a rate per second, which is also the burst,
+// and requests of one cost.
+func checkLimit(t *testing.T, rate, cost float64) {
+	t.Helper()
 	const (
-		rate, burst = 20_000.0, 20_000.0
 		window      = 8 * time.Second
 		over, slack = 0.1, 140_000.0
 		step        = 50 * time.Millisecond
@@ -227,7 +234,7 @@
 		credit      = 0.4 * slack
 	)
 	rapid.Check(t, func(t *rapid.T) {
-		w := workspace(rate, burst)
+		w := workspace(rate, rate)
 		n := rapid.IntRange(2, 8).Draw(t, "instances")
 		f := newFleetWith(n, w, credit)
 		allRestart := rapid.IntRange(0, ticks).Draw(t, "all restart at")
@@ -243,11 +250,16 @@
 					delete(f.cut, who)
 				case 2:
 					f.restart(who)
+					// The holder of the duties may have been silent while others were at work.
+					f.books[who].Rested(f.clock.now.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "holder silent ms")) * time.Millisecond))
 				}
 			}
 			if tick == allRestart {
+				lastSaved := f.clock.now.Add(-time.Duration(rapid.IntRange(0, 300).Draw(t, "saved before ms")) * time.Millisecond)
+				f.clock.now = f.clock.now.Add(time.Duration(rapid.IntRange(500, 3000).Draw(t, "down ms")) * time.Millisecond)
 				for i := range f.books {
 					f.restart(i)
+					f.books[i].Rested(lastSaved.Add(500 * time.Millisecond))
 				}
 			}
 			if tick%4 == 0 {
@@ -257,13 +269,12 @@
 				demand = rapid.IntRange(0, 6).Draw(t, "demand")
 			}
 			for i := range demand * n {
-				cost := 3000.0
 				if _, ok := f.books[i%n].Take(&w, cost, false); ok {
 					f.admitted = append(f.admitted, admission{at: f.clock.now, cost: cost})
 				}
 			}
 		}
-		allowed := (rate*window.Seconds()+burst)*(1+over) + slack
+		allowed := (rate*window.Seconds()+rate)*(1+over) + slack
 		if got := f.worst(window); got > allowed {
 			t.Fatalf("%d instances admitted %.0f in a window, allowed %.0f", n, got, allowed)
 		}
@@ -347,6 +358,23 @@
 	g.Expect(admitted).To(BeNumerically("<=", 3*rate), "what was saved up, the rate of the time, and an overdraft of each")
 }
 
+// TestWhatWasSavedUpInAnIdleTimeIsThere has all instances start 2 s after the
+// last one was at work.
+func TestWhatWasSavedUpInAnIdleTimeIsThere(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{now: time.Unix(1000, 0)}
+	b := newBook(c, 2)
+	w := workspace(1000, 1000)
+	b.Open([]routing.Workspace{w})
+	b.Rested(c.now.Add(-400 * time.Millisecond))
+	g.Expect(b.accounts["w1"].level).To(BeNumerically("~", 400, 1))
+
+	b.Heard("p", uint64(c.now.Add(-100*time.Millisecond).UnixNano()), map[string]float64{"w1": 300})
+	g.Expect(b.accounts["w1"].level).To(BeNumerically("~", 100, 1), "a peer that started since has used its part")
+	b.Heard("q", uint64(c.now.Add(-time.Minute).UnixNano()), nil)
+	g.Expect(b.accounts["w1"].level).To(BeNumerically("<=", 0), "a peer was at work all the while")
+}
+
 // TestARestartedPeerBeginsAnew has a peer restart that told a large total: its
 // next small one is no refund.
 func TestARestartedPeerBeginsAnew(t *testing.T) {
--- a/pkg/usage/report.go
+++ b/pkg/usage/report.go
@@ -47,6 +47,28 @@
 	// Final holds the final counts of windows, Reported those that were accepted.
 	Final    map[int64]Counts `json:"final"`
 	Reported map[int64]bool   `json:"reported"`
+	// SavedMS is the true time of the write in Unix milliseconds.
+	SavedMS int64 `json:"saved_ms"`
+}
+
+// LastSaved returns when a holder of the duty last stored its state: until then
+// instances were surely at work. It is zero if none ever did.
+func LastSaved(ctx context.Context, store objectstore.Store) (time.Time, error) {
+	o, err := store.Get(ctx, stateKey)
+	if errors.Is(err, objectstore.ErrNotFound) {
+		return time.Time{}, nil
+	}
+	if err != nil {
+		return time.Time{}, err
+	}
+	var s state
+	if err := json.Unmarshal(o.Value, &s); err != nil {
+		return time.Time{}, eris.Wrap(err, "usage: decode state")
+	}
+	if s.SavedMS == 0 {
+		return time.Time{}, nil
+	}
+	return time.UnixMilli(s.SavedMS), nil
 }
 
 // Reporter carries out the duty of reporting the usage.
@@ -121,7 +143,7 @@
 func (r *Reporter) save(ctx context.Context) error {
 	now := r.Ledger.Now()
 	newest := r.Ledger.Index(now)
-	next := state{Counts: make(map[int64]map[string]Counts), Final: make(map[int64]Counts), Reported: make(map[int64]bool)}
+	next := state{Counts: make(map[int64]map[string]Counts), Final: make(map[int64]Counts), Reported: make(map[int64]bool), SavedMS: now.UnixMilli()}
 	for index := newest - Kept; index <= newest; index++ {
 		final, ok := r.state.Final[index]
 		switch {
