Let a restarted holder take its lease again, and hand the planner's state on

Change: a lease tells its owner, the instance; a restart of the same instance knows that the process before has ended and takes the lease with the next number.

--- a/cmd/medlarsill-controller/main.go
+++ b/cmd/medlarsill-controller/main.go
@@ -96,7 +96,7 @@
 			Self: id + "/" + uuid.NewString(), Duration: lease.DefaultDuration,
 			Rand: newRand(), WriteID: uuid.NewString,
 		},
-		Duty: dutyName, Store: store, Log: log, Now: time.Now, Candidate: func() bool { return true },
+		Duty: dutyName, Store: store, Log: log, Now: time.Now, Candidate: func(bool) bool { return true },
 	})
 }
 
--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -39,16 +39,16 @@
 	duration := time.Duration(p.cfg.LeaseMS)*time.Millisecond + leaseSlack
 	p.duty = lease.New(lease.Options{
 		Config: lease.Config{
-			Self: p.usage.Source, Duration: duration, Poll: duration / leasePolls, MinHold: duration,
+			Self: p.usage.Source, Owner: p.cfg.ID + "@" + p.cfg.Listen, Duration: duration, Poll: duration / leasePolls, MinHold: duration,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), WriteID: uuid.NewString,
 		},
 		Duty: dutyName, Store: p.store, Log: p.log, Now: time.Now,
-		Candidate: func() bool { return p.ready() && p.node.Rank() < candidates },
+		Candidate: func(returning bool) bool { return p.ready() && (returning || p.node.Rank() < candidates) },
 	})
 	calls := platform.NewCloud(p.cfg.CloudAPI, p.cfg.ID, client)
 	p.reporter = &usage.Reporter{Ledger: p.usage, Store: p.store, Lease: p.duty, Platform: calls, Log: p.log}
 	p.planner = scaling.NewPlanner(scaling.Options{
-		Config: p.config, Endpoints: p.table, Load: p.meter, Lease: p.duty, Platform: calls, Log: p.log, Now: time.Now,
+		Config: p.config, Endpoints: p.table, Load: p.meter, Lease: p.duty, Store: p.store, Platform: calls, Log: p.log, Now: time.Now,
 		FirstStart: p.cfg.FirstStart,
 	})
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -42,8 +42,9 @@
 	Log   *slog.Logger
 	Now   func() time.Time
 	// Candidate tells whether this process should hold the lease if it is free,
-	// so that only a few of many processes watch it.
-	Candidate func() bool
+	// so that only a few of many processes watch it. returning is true if an
+	// earlier start of this process held it last.
+	Candidate func(returning bool) bool
 }
 
 // Lease keeps one duty's lease for one process.
@@ -52,6 +53,8 @@
 	mu      sync.Mutex
 	machine *Machine
 	fence   uint64
+	// looked is true once the lease was read.
+	looked bool
 }
 
 // New returns a lease that isn't held.
@@ -100,9 +103,18 @@
 
 // step makes the machine's next call.
 func (l *Lease) step(ctx context.Context) {
-	candidate := l.Candidate()
+	l.mu.Lock()
+	returning := l.machine.Returning()
+	l.mu.Unlock()
+	candidate := l.Candidate(returning)
 	if _, held := l.Held(); !held && !candidate {
 		l.note()
+		if !l.looked {
+			// An earlier start may have held the lease.
+			l.looked = true
+			l.read(ctx)
+			return
+		}
 		sleep.For(ctx, idleInterval)
 		return
 	}
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -24,7 +24,7 @@
 			return fmt.Sprint(id, n)
 		}},
 		Duty: "capacity", Store: store, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Now: time.Now, Candidate: func() bool { return true },
+		Now: time.Now, Candidate: func(bool) bool { return true },
 	})
 }
 
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -34,6 +34,8 @@
 type Record struct {
 	// Holder names the process that holds it, one start of a process, not an instance.
 	Holder string `json:"holder"`
+	// Owner names the instance on which the holder runs; "" if it doesn't say.
+	Owner string `json:"owner,omitempty"`
 	// Fence is the fencing number. It grows with every holder.
 	Fence uint64 `json:"fence"`
 	// WriteID is unique to the write; it tells after a lost answer whether the write took effect.
@@ -73,6 +75,10 @@
 type Config struct {
 	// Self names this start of the process; it must be unique.
 	Self string
+	// Owner names the instance and is the same for all starts of this process on
+	// it, of which one runs at a time; a lease that an earlier start held is free
+	// for the next one. "" if that isn't sure.
+	Owner string
 	// Duration is how long a lease lasts without a renewal. All candidates use the same.
 	Duration time.Duration
 	// Poll is how often a process that doesn't hold the lease reads it; 0 means
@@ -138,7 +144,7 @@
 		return m.write(now, m.fence, false)
 	case !candidate || !m.lapsed(now):
 		return Action{Kind: Read}
-	case !m.lapseSeen && m.seen.Version != 0 && m.seen.Holder != m.Self:
+	case !m.lapseSeen && m.seen.Version != 0 && !m.ours():
 		m.lapseSeen = true
 		delay := m.jitter()
 		m.due = now.Add(delay)
@@ -155,11 +161,20 @@
 }
 
 // lapsed tells whether the lease is free: given up, never held, held last by
-// this very process, or unchanged for its duration.
+// this process or an earlier start of it, or unchanged for its duration.
 func (m *Machine) lapsed(now time.Time) bool {
-	return m.seen.Version == 0 || m.seen.Released || m.seen.Holder == m.Self || now.Sub(m.seenAt) >= m.Duration
+	return m.seen.Version == 0 || m.seen.Released || m.ours() || now.Sub(m.seenAt) >= m.Duration
 }
 
+// ours tells whether this process or an earlier start of it held the lease last.
+func (m *Machine) ours() bool {
+	return m.seen.Holder == m.Self || m.Owner != "" && m.seen.Owner == m.Owner
+}
+
+// Returning tells whether an earlier start of this process is known to have held
+// the lease last.
+func (m *Machine) Returning() bool { return m.known && m.fence == 0 && m.ours() }
+
 func (m *Machine) jitter() time.Duration {
 	divisor := jitterDivisor
 	if m.Poll > 0 {
@@ -169,7 +184,7 @@
 }
 
 func (m *Machine) write(now time.Time, fence uint64, released bool) Action {
-	r := Record{Holder: m.Self, Fence: fence, WriteID: m.WriteID(), Released: released}
+	r := Record{Holder: m.Self, Owner: m.Owner, Fence: fence, WriteID: m.WriteID(), Released: released}
 	m.pending[r.WriteID] = now
 	return Action{Kind: Write, Record: r, Version: m.seen.Version}
 }
@@ -259,7 +274,7 @@
 	if m.seen.Version == 0 || m.seen.Released {
 		return m.jitter()
 	}
-	if m.seen.Holder == m.Self {
+	if m.ours() {
 		return 0
 	}
 	if m.Poll > 0 {
--- a/pkg/lease/machine_test.go
+++ b/pkg/lease/machine_test.go
@@ -64,7 +64,7 @@
 	if rapid.Bool().Draw(t, "no delay") {
 		source = zeroSource{}
 	}
-	c.m = NewMachine(Config{Self: self, Duration: duration, Rand: rand.New(source), WriteID: func() string {
+	c.m = NewMachine(Config{Self: self, Owner: "on " + self, Duration: duration, Rand: rand.New(source), WriteID: func() string {
 		n++
 		return fmt.Sprint(self, "-", n)
 	}})
@@ -199,6 +199,7 @@
 			"restart": func(t *rapid.T) {
 				i := rapid.IntRange(0, len(w.procs)-1).Draw(t, "process")
 				w.add(t)
+				w.procs[len(w.procs)-1].m.Owner = w.procs[i].m.Owner
 				w.procs[i] = w.procs[len(w.procs)-1]
 				w.procs = w.procs[:len(w.procs)-1]
 			},
--- a/pkg/lease/poll_test.go
+++ b/pkg/lease/poll_test.go
@@ -65,3 +65,23 @@
 	g.Expect(again.Kind).To(Equal(Write), "it needn't wait")
 	g.Expect(again.Record.Fence).To(Equal(fence + 1))
 }
+
+// TestARestartedHolderNeedNotWait: the process that held the lease has ended,
+// since only one runs on an instance at a time.
+func TestARestartedHolderNeedNotWait(t *testing.T) {
+	g := NewWithT(t)
+	m := pollingMachine("a/2")
+	m.Owner = "a"
+	now := time.Unix(0, 0)
+	m.Saw(now, Stored{Record: Record{Holder: "a/1", Owner: "a", Fence: 4, WriteID: "x"}, Version: 7})
+	g.Expect(m.Returning()).To(BeTrue())
+	a := m.Next(now, true)
+	g.Expect(a.Kind).To(Equal(Write))
+	g.Expect(a.Record.Fence).To(BeEquivalentTo(5))
+
+	other := pollingMachine("b/1")
+	other.Owner = "b"
+	other.Saw(now, Stored{Record: Record{Holder: "a/1", Owner: "a", Fence: 4, WriteID: "x"}, Version: 7})
+	g.Expect(other.Returning()).To(BeFalse())
+	g.Expect(other.Next(now, true).Kind).NotTo(Equal(Write))
+}
--- a/pkg/scaling/load.go
+++ b/pkg/scaling/load.go
@@ -27,6 +27,8 @@
 	asked  map[string]float64
 	rates  map[string]float64
 	at     time.Time
+	// measured is true once a whole span was observed.
+	measured bool
 }
 
 // NewMeter returns a meter that has seen nothing.
@@ -64,11 +66,12 @@
 	}
 	clear(m.asked)
 	m.at = now
+	m.measured = true
 }
 
 // Engines implements Load.
-func (m *Meter) Engines(s *routing.Service) float64 {
+func (m *Meter) Engines(s *routing.Service) (float64, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.rates[s.Name] / busyShare
+	return m.rates[s.Name] / busyShare, m.measured
 }
--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/medlarsill/medlarsill/pkg/cloud"
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 )
 
@@ -31,8 +32,9 @@
 
 // Load is what a service's load needs.
 type Load interface {
-	// Engines returns the number of engines that the load of a service needs now.
-	Engines(s *routing.Service) float64
+	// Engines returns the number of engines that the load of a service needs now;
+	// false if it hasn't been observed for long enough.
+	Engines(s *routing.Service) (float64, bool)
 }
 
 // Config gives the configuration in force, or nil.
@@ -46,6 +48,7 @@
 	Endpoints *endpoints.Table
 	Load      Load
 	Lease     Lease
+	Store     objectstore.Store
 	Platform  Platform
 	Log       *slog.Logger
 	Now       func() time.Time
@@ -59,6 +62,11 @@
 	wake     chan struct{}
 	fence    uint64
 	services map[string]*service
+	// version is the version of the stored state, saved when it was written last,
+	// and changed whether there was an order since.
+	version uint64
+	saved   time.Time
+	changed bool
 }
 
 // NewPlanner returns a planner; Wake makes it plan at once.
@@ -84,27 +92,36 @@
 		case <-t.C:
 		}
 		t.Stop()
-		p.step(ctx)
+		if err := p.step(ctx); err != nil {
+			p.Log.Warn("capacity state not handed on", "error", err.Error())
+		}
 	}
 	return nil
 }
 
-func (p *Planner) step(ctx context.Context) {
+func (p *Planner) step(ctx context.Context) error {
 	fence, held := p.Lease.Held()
 	table := p.Config.Current()
 	if !held || table == nil {
 		p.fence = 0
-		return
+		return nil
 	}
 	if fence != p.fence {
+		if err := p.load(ctx, p.Now()); err != nil {
+			return err
+		}
 		p.fence = fence
-		p.services = make(map[string]*service)
 	}
 	for i := range table.Services {
 		if s := &table.Services[i]; s.Scaling != nil {
 			p.plan(ctx, s)
 		}
 	}
+	if err := p.save(ctx, p.Now()); err != nil {
+		p.fence = 0 // what is stored isn't known: read it again
+		return err
+	}
+	return nil
 }
 
 func (p *Planner) plan(ctx context.Context, s *routing.Service) {
@@ -114,9 +131,14 @@
 		state = newService(p.FirstStart, now)
 		p.services[s.Name] = state
 	}
-	demand := p.Load.Engines(s)
+	demand, observed := p.Load.Engines(s)
 	state.unused = state.unused && demand == 0
-	state.follow(demand, now)
+	switch {
+	case observed:
+		state.follow(demand, now)
+	case !state.unused && state.at.IsZero():
+		return // nothing is known of the demand
+	}
 	if state.unused {
 		state.demand = firstDemand(s.Scaling)
 	}
@@ -159,6 +181,7 @@
 	})
 	p.Log.Info("capacity ordered", "service", o.Service, "data_centre", o.DataCentre, "reclaimable", o.Reclaimable,
 		"count", o.Count, "demand", state.demand, "fence", p.fence, "error", err)
+	p.changed = true
 	switch {
 	case err == nil:
 		state.ordered[place] = order{count: o.Count, at: p.Now()}
--- a/pkg/scaling/scaling_test.go
+++ b/pkg/scaling/scaling_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/medlarsill/medlarsill/pkg/cloud"
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/objectstore"
+	"github.com/medlarsill/medlarsill/pkg/objectstore/memstore"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 	_ "github.com/medlarsill/medlarsill/pkg/testseed"
 )
@@ -81,16 +83,22 @@
 	now := time.Unix(0, 0)
 	m := NewMeter(func() time.Time { return now })
 	s := &routing.Service{Name: "s1"}
+	_, observed := m.Engines(s)
+	g.Expect(observed).To(BeFalse(), "nothing was observed yet")
 	for i := range 41 {
 		now = now.Add(100 * time.Millisecond)
 		m.Heard("a/1", map[string]float64{"s1": float64(i) * 0.3})
 		m.Heard("b/1", map[string]float64{"s1": float64(i) * 0.1})
 	}
-	g.Expect(m.Engines(s)).To(BeNumerically("~", 4/busyShare, 0.5))
+	var engines float64
+	engines, observed = m.Engines(s)
+	g.Expect(engines).To(BeNumerically("~", 4/busyShare, 0.5))
+	g.Expect(observed).To(BeTrue())
 	m.Heard("a/2", map[string]float64{"s1": 1000})
 	now = now.Add(rateSpan)
 	m.Heard("b/1", map[string]float64{"s1": 4})
-	g.Expect(m.Engines(s)).To(BeNumerically("<", 1), "a restarted instance's total is no demand by itself")
+	engines, _ = m.Engines(s)
+	g.Expect(engines).To(BeNumerically("<", 1), "a restarted instance's total is no demand by itself")
 }
 
 // market is a platform that boots what is ordered.
@@ -99,6 +107,8 @@
 	want  map[Place]int
 	born  int
 	dry   bool
+	// planner gives the orders.
+	planner *Planner
 	// orders counts the orders, refused the refused ones.
 	orders, refused int
 }
@@ -155,9 +165,13 @@
 
 func (m *market) total() int { return len(m.table.Service("s1")) }
 
-type steadyLoad struct{ engines float64 }
+type steadyLoad struct {
+	engines float64
+	// unknown is true while the load hasn't been observed.
+	unknown bool
+}
 
-func (l *steadyLoad) Engines(*routing.Service) float64 { return l.engines }
+func (l *steadyLoad) Engines(*routing.Service) (float64, bool) { return l.engines, !l.unknown }
 
 type alwaysHeld struct{}
 
@@ -172,25 +186,57 @@
 
 // plan runs a planner over a market with some on-demand instances.
 func plan(load *steadyLoad, first bool, body func(m *market)) {
-	var planner *Planner
 	m := &market{want: make(map[Place]int)}
-	m.table = endpoints.NewTable(func() { planner.Wake() })
-	planner = NewPlanner(Options{
-		Config: config{routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s1", Scaling: prices()}}})}, Endpoints: m.table,
-		Load: load, Lease: alwaysHeld{}, Platform: m, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now, FirstStart: first,
-	})
+	m.table = endpoints.NewTable(func() { m.planner.Wake() })
+	m.planner = newPlanner(m, memstore.New(), load, first)
 	for _, dc := range []string{"a", "a", "a", "b", "b", "c", "c", "d", "d"} {
 		m.add(steady(dc))
 		m.want[steady(dc)]++
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- planner.Run(ctx) }()
+	go func() { done <- m.planner.Run(ctx) }()
 	body(m)
 	cancel()
 	<-done
 }
 
+func newPlanner(m *market, store objectstore.Store, load *steadyLoad, first bool) *Planner {
+	return NewPlanner(Options{
+		Config: config{routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s1", Scaling: prices()}}})}, Endpoints: m.table,
+		Load: load, Lease: alwaysHeld{}, Store: store, Platform: m, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now, FirstStart: first,
+	})
+}
+
+// TestANewHolderGoesOnWithWhatWasOrdered has the holder end while instances
+// boot: the next one knows the demand and the orders, though it has observed no
+// load yet.
+func TestANewHolderGoesOnWithWhatWasOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		load := &steadyLoad{engines: 9}
+		plan(load, false, func(m *market) {
+			time.Sleep(2 * time.Second)
+			orders := m.orders
+			g.Expect(orders).NotTo(BeZero())
+			next := newPlanner(m, m.planner.Store, &steadyLoad{unknown: true}, false)
+			g.Expect(next.step(t.Context())).To(Succeed())
+			g.Expect(next.services["s1"].demand).To(BeNumerically("~", 9, 1))
+			g.Expect(m.orders).To(Equal(orders), "nothing is ordered twice or taken back")
+		})
+	})
+}
+
+func TestNothingIsOrderedWhileTheDemandIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		plan(&steadyLoad{unknown: true}, false, func(m *market) {
+			time.Sleep(5 * time.Second)
+			g.Expect(m.orders).To(BeZero())
+		})
+	})
+}
+
 func TestTheFirstStartSwapsToReclaimableOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- /dev/null
+++ b/pkg/scaling/state.go
@@ -0,0 +1,142 @@
+package scaling
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/medlarsill/medlarsill/pkg/objectstore"
+)
+
+const (
+	// stateKey is the object that holds what holders of the duty hand on.
+	stateKey = "capacity/state"
+	// saveInterval is the time between two writes of the state without orders.
+	saveInterval = 2 * time.Second
+	// demandFor is how long the demand that the last holder saw is of use.
+	demandFor = 20 * time.Second
+)
+
+// record is the stored form of what holders of the duty hand on.
+type record struct {
+	// SavedMS is the holder's time of day in Unix milliseconds.
+	SavedMS  int64                    `json:"saved_ms"`
+	Services map[string]serviceRecord `json:"services"`
+}
+
+// serviceRecord is what is handed on of one service.
+type serviceRecord struct {
+	Demand float64       `json:"demand"`
+	Places []placeRecord `json:"places"`
+}
+
+// placeRecord is the last order for one place and when it was last refused, in
+// Unix milliseconds; 0 if there is none.
+type placeRecord struct {
+	DataCentre  string `json:"data_centre"`
+	Reclaimable bool   `json:"reclaimable"`
+	Count       int    `json:"count"`
+	OrderedMS   int64  `json:"ordered_ms,omitempty"`
+	RefusedMS   int64  `json:"refused_ms,omitempty"`
+}
+
+// load reads what the last holder handed on.
+func (p *Planner) load(ctx context.Context, now time.Time) error {
+	p.services, p.version = make(map[string]*service), 0
+	o, err := p.Store.Get(ctx, stateKey)
+	if errors.Is(err, objectstore.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	p.version = o.Version
+	var r record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		p.Log.Error("capacity state unreadable", "error", err.Error(), "version", o.Version)
+		return nil
+	}
+	for name, s := range r.Services {
+		p.services[name] = restored(s, r.SavedMS, now)
+	}
+	p.Log.Info("capacity state read", "version", o.Version, "services", len(r.Services), "age_ms", now.UnixMilli()-r.SavedMS)
+	return nil
+}
+
+// restored returns a service's state as a holder before knew it.
+func restored(r serviceRecord, savedMS int64, now time.Time) *service {
+	s := newService(false, now)
+	if age := now.Sub(time.UnixMilli(savedMS)); age < demandFor {
+		s.demand, s.at = r.Demand, now
+	}
+	for _, stored := range r.Places {
+		place := Place{DataCentre: stored.DataCentre, Reclaimable: stored.Reclaimable}
+		if stored.OrderedMS > 0 {
+			s.ordered[place] = order{count: stored.Count, at: notAfter(stored.OrderedMS, now)}
+		}
+		if stored.RefusedMS > 0 {
+			s.refused[place] = notAfter(stored.RefusedMS, now)
+		}
+	}
+	return s
+}
+
+// notAfter returns a time in Unix milliseconds that another clock has shown, and
+// now if that is later.
+func notAfter(ms int64, now time.Time) time.Time {
+	at := time.UnixMilli(ms)
+	if at.After(now) {
+		return now
+	}
+	return at
+}
+
+// save hands the state on: after each order, and every few seconds.
+func (p *Planner) save(ctx context.Context, now time.Time) error {
+	if !p.changed && now.Sub(p.saved) < saveInterval {
+		return nil
+	}
+	r := record{SavedMS: now.UnixMilli(), Services: make(map[string]serviceRecord, len(p.services))}
+	for name, s := range p.services {
+		r.Services[name] = s.record()
+	}
+	value, err := json.Marshal(r)
+	if err != nil {
+		return eris.Wrap(err, "scaling: encode state")
+	}
+	var o objectstore.Object
+	if p.version == 0 {
+		o, err = p.Store.Create(ctx, stateKey, value)
+	} else {
+		o, err = p.Store.Update(ctx, stateKey, value, p.version)
+	}
+	if err != nil {
+		return err
+	}
+	p.version, p.saved, p.changed = o.Version, now, false
+	return nil
+}
+
+// record returns what is handed on of a service.
+func (s *service) record() serviceRecord {
+	r := serviceRecord{Demand: s.demand}
+	places := make(map[Place]placeRecord)
+	for place, o := range s.ordered {
+		places[place] = placeRecord{DataCentre: place.DataCentre, Reclaimable: place.Reclaimable, Count: o.count, OrderedMS: o.at.UnixMilli()}
+	}
+	for place, at := range s.refused {
+		known, ok := places[place]
+		if !ok {
+			known = placeRecord{DataCentre: place.DataCentre, Reclaimable: place.Reclaimable}
+		}
+		known.RefusedMS = at.UnixMilli()
+		places[place] = known
+	}
+	for _, stored := range places {
+		r.Places = append(r.Places, stored)
+	}
+	return r
+}
