Answer 408 to a header that takes too long, and leave room for running requests among the connections

Change: a connection that has begun a request gets 408 before it is closed, and a silent one is closed as before; idle connections over all processes are at most half, and at most what the slots leave. Tests: TestAHeaderThatNeverEndsIsCutOff (fails without the change), TestIdleConnectionsLeaveRoomForRunningOnes. No site has such callers or such few connections, so that nothing was measured there.

--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -119,9 +119,12 @@
 // idle, over all instances.
 const idleShare = 0.5
 
-// idleConns is the number of idle connections that this process keeps to an endpoint of a service.
-func (p *process) idleConns(s *routing.Service) int {
-	return max(1, int(idleShare*float64(s.MaxConns))/p.node.Members())
+// idleConns is the number of idle connections that this process keeps to an
+// endpoint of a service. Over all processes they leave room for a connection of
+// each request that the endpoint runs.
+func (p *process) idleConns(s *routing.Service, e *endpoints.Endpoint) int {
+	all := min(int(idleShare*float64(s.MaxConns)), s.MaxConns-places(e))
+	return max(1, all/p.node.Members())
 }
 
 // places is the number of requests that an endpoint runs at once.
--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -16,7 +16,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/logging"
+	"github.com/medlarsill/medlarsill/pkg/routing"
 	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/platform"
 	"github.com/medlarsill/medlarsill/platform/platformtest"
@@ -261,3 +263,15 @@
 	g.Expect(out.String()).To(ContainSubstring("settings not reloaded"), "the file lacks what is needed")
 	g.Expect(out.String()).To(ContainSubstring("data_centre"))
 }
+
+// TestIdleConnectionsLeaveRoomForRunningOnes checks that all processes together
+// stay within what an endpoint accepts.
+func TestIdleConnectionsLeaveRoomForRunningOnes(t *testing.T) {
+	g := NewWithT(t)
+	p := newProcess(settings.Gateway{ID: "gw-1", IP: "127.0.0.1", PeerPort: 7600, MemoryMB: 256, UsageWindowS: 5}, "", slog.New(slog.DiscardHandler))
+	for _, c := range []struct{ conns, slots, want int }{{480, 96, 240}, {96, 6, 48}, {120, 96, 24}, {90, 96, 1}} {
+		table := endpoints.NewTable(func() {})
+		table.Put(endpoints.Info{ID: "i-1", Service: "s1", Addr: "10.0.0.1:80", Slots: c.slots})
+		g.Expect(p.idleConns(&routing.Service{Name: "s1", MaxConns: c.conns}, table.Service("s1")[0])).To(Equal(c.want))
+	}
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -48,18 +48,18 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer func() {
 		untouched := stop()
-		g.Pool.Put(p.Endpoint.Addr, conn, a.whole && untouched, c.idleConns())
+		g.Pool.Put(p.Endpoint.Addr, conn, a.whole && untouched, a.idleConns())
 	}()
 	return a.exchange(ctx)
 }
 
-// idleConns is the number of idle connections to keep to each endpoint of the call's service.
-func (c *call) idleConns() int {
-	s, ok := c.table.Service(c.service)
+// idleConns is the number of idle connections to keep to the endpoint.
+func (a *attempt) idleConns() int {
+	s, ok := a.table.Service(a.service)
 	if !ok {
 		return 1
 	}
-	return c.gateway.IdleConns(s)
+	return a.gateway.IdleConns(s, a.place.Endpoint)
 }
 
 // exchange sends the request and takes the head of the answer.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 	"github.com/medlarsill/medlarsill/pkg/schedule"
 	"github.com/medlarsill/medlarsill/pkg/upstream"
@@ -58,8 +59,8 @@
 	// Beliefs tells what this process goes by and how old that is, for the log
 	// lines of failed requests.
 	Beliefs func() slog.Attr
-	// IdleConns is the number of idle connections that are kept to each endpoint of a service.
-	IdleConns func(s *routing.Service) int
+	// IdleConns is the number of idle connections that are kept to an endpoint of a service.
+	IdleConns func(s *routing.Service, e *endpoints.Endpoint) int
 	Now       func() time.Time
 	// Random returns numbers from 0 to below 1.
 	Random func() float64
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/sleep"
@@ -24,8 +26,13 @@
 	// caller within its limits is never cut off.
 	headerSlack = 500 * time.Millisecond
 	idleSlack   = time.Second
+	// timeoutAnswerTime bounds the writing of the answer to a header that took too long.
+	timeoutAnswerTime = 100 * time.Millisecond
 )
 
+// timeoutAnswer is the answer to a request whose header took too long.
+const timeoutAnswer = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // Limits are the times that callers may take.
 type Limits struct {
 	// Header bounds the time until a request's header has arrived, Idle the time
@@ -50,6 +57,45 @@
 	idle bool
 }
 
+// conn is a caller's connection that tells whether bytes of a further request
+// have come.
+type conn struct {
+	net.Conn
+	begun atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.begun.Store(true)
+	}
+	return n, err
+}
+
+// end closes a connection on which a request waits for too long. A caller that
+// has begun to send one is told.
+func (c *conn) end() {
+	if c.begun.Load() {
+		// A caller that can't be told finds the connection closed.
+		_ = c.SetWriteDeadline(time.Now().Add(timeoutAnswerTime))
+		_, _ = io.WriteString(c.Conn, timeoutAnswer)
+	}
+	c.Close()
+}
+
+// listener wraps the connections that it accepts.
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
+
 // New returns a server of a handler; limits is asked at each look at the connections.
 func New(addr string, h http.Handler, limits func() Limits, now func() time.Time) *Server {
 	s := &Server{limits: limits, now: now, waiting: make(map[net.Conn]waiting)}
@@ -64,7 +110,7 @@
 }
 
 // Serve accepts connections until Close.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(l) }
+func (s *Server) Serve(l net.Listener) error { return s.http.Serve(listener{l}) }
 
 // Close ends all connections at once.
 func (s *Server) Close() error { return s.http.Close() }
@@ -80,6 +126,7 @@
 	case http.StateNew:
 		s.waiting[c] = waiting{since: s.now()}
 	case http.StateIdle:
+		c.(*conn).begun.Store(false)
 		s.waiting[c] = waiting{since: s.now(), idle: true}
 	default:
 		delete(s.waiting, c)
@@ -90,24 +137,24 @@
 func (s *Server) Sweep(ctx context.Context) error {
 	for sleep.For(ctx, sweepInterval) {
 		for _, c := range s.overdue() {
-			c.Close()
+			c.end()
 		}
 	}
 	return nil
 }
 
-func (s *Server) overdue() []net.Conn {
+func (s *Server) overdue() []*conn {
 	limits, now := s.limits(), s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []net.Conn
+	var out []*conn
 	for c, w := range s.waiting {
 		limit := limits.Header + headerSlack
 		if w.idle {
 			limit = limits.Idle + idleSlack
 		}
 		if limits.Header > 0 && limits.Idle > 0 && now.Sub(w.since) > limit {
-			out = append(out, c)
+			out = append(out, c.(*conn))
 		}
 	}
 	return out
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -166,14 +166,36 @@
 	defer slow.Close()
 	_, err = io.WriteString(slow, "GET /a HTTP/1.1\r\nHo")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Eventually(f.waitingCount).Should(Equal(1))
+	silent, err := net.Dial("tcp", f.addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer silent.Close()
+	g.Eventually(f.waitingCount).Should(Equal(2))
 	f.advance(3 * time.Second)
 	g.Expect(f.overdue()).To(BeEmpty())
+	g.Eventually(f.begunCount).Should(Equal(1))
 	f.advance(time.Second)
 	late := f.overdue()
-	g.Expect(late).To(HaveLen(1))
-	late[0].Close()
+	g.Expect(late).To(HaveLen(2))
+	for _, c := range late {
+		c.end()
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusRequestTimeout))
 	g.Expect(closed(slow)).To(HaveOccurred())
+	g.Expect(closed(silent)).To(MatchError(io.EOF), "a caller that sent nothing gets no answer")
+}
+
+func (s *Server) begunCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.waiting {
+		if c.(*conn).begun.Load() {
+			n++
+		}
+	}
+	return n
 }
 
 func TestDrainClosesIdleConnectionsAndWaitsForTheOthers(t *testing.T) {
