Compare a sample of the endpoints where many instances place requests

Cause: with 83 instances peers' loads are up to 0.8 s old; each instance chose the endpoint that seemed the least loaded of all, and all chose the same few. Ruled out: missing engines (53 needed, 92 there), refusals (0.1%). Change: two endpoints for each instance's share of them are compared, two at least, and the home of the prefix; a power of a few choices. Test: TestManyInstancesDoNotHerd fails without the sample (1,600 requests in the same order).

--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -97,6 +97,7 @@
 	p.follower = endpoints.NewFollower(endpoints.FollowerOptions{Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Log: log, Now: time.Now})
 	p.scheduler = schedule.New(p.table, places, time.Now)
 	p.joinPeers()
+	p.scheduler.Members = p.node.Members
 	p.book = allowance.New(allowance.Options{Over: allowanceShare * cfg.AllowanceOver, Credit: creditShare * cfg.AllowanceSlack, Now: time.Now, Silence: p.node.Silence, Members: p.node.Members})
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.book,
--- a/pkg/schedule/choose.go
+++ b/pkg/schedule/choose.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
@@ -27,12 +28,35 @@
 	start, cost time.Duration
 }
 
+// sampling tells how many of the endpoints one decision compares. Instances that
+// know each other's sends late would all choose the same few otherwise.
+//
+// Source: Mitzenmacher, "How useful is old information?", IEEE TPDS 2000.
+type sampling struct {
+	// size is the number of endpoints that are compared.
+	size int
+	// pick returns a random number from 0 to below n.
+	pick func(n int) int
+}
+
 // choose returns the endpoint with a free place at which the answer is
-// expected to begin first. Endpoints that couldn't be reached lately are taken
-// only where there are no others.
-func choose(list []*endpoints.Endpoint, d Demand, places func(*endpoints.Endpoint) int, now time.Time) (candidate, bool) {
+// expected to begin first, of a sample. Endpoints that couldn't be reached lately
+// are taken only where there are no others.
+func choose(list []*endpoints.Endpoint, d Demand, places func(*endpoints.Endpoint) int, now time.Time, s sampling) (candidate, bool) {
+	free := withPlaces(list, d, places, now)
 	home := home(list, d)
-	var best, last candidate
+	var best candidate
+	for _, e := range s.of(free, home) {
+		best = cheaper(best, weigh(e, e.Total(), d, e == home))
+	}
+	return best, best.endpoint != nil
+}
+
+// withPlaces returns the endpoints that have a place free, of those that could be
+// reached lately or, if there is none, of the others.
+func withPlaces(list []*endpoints.Endpoint, d Demand, places func(*endpoints.Endpoint) int, now time.Time) []*endpoints.Endpoint {
+	free := make([]*endpoints.Endpoint, 0, len(list))
+	var last []*endpoints.Endpoint
 	sound := false
 	for _, e := range list {
 		if d.Avoid[e.ID] {
@@ -40,21 +64,42 @@
 		}
 		paused := e.Paused(now)
 		sound = sound || !paused
-		total := e.Total()
-		if n := places(e); n > 0 && total.Running >= n {
+		if n := places(e); n > 0 && e.Total().Running >= n {
 			continue
 		}
-		c := weigh(e, total, d, e == home)
 		if paused {
-			last = cheaper(last, c)
+			last = append(last, e)
 		} else {
-			best = cheaper(best, c)
+			free = append(free, e)
 		}
 	}
 	if !sound {
-		best = last
+		return last
 	}
-	return best, best.endpoint != nil
+	return free
+}
+
+// of returns a sample of a list, which it reorders, with the home endpoint if
+// that is in the list.
+func (s sampling) of(list []*endpoints.Endpoint, home *endpoints.Endpoint) []*endpoints.Endpoint {
+	if s.size >= len(list) {
+		return list
+	}
+	if at := slices.Index(list, home); home != nil && at >= 0 {
+		list[0], list[at] = list[at], list[0]
+		return list[:1+s.shuffle(list[1:])]
+	}
+	return list[:s.shuffle(list)]
+}
+
+// shuffle moves a random sample to the front of a list and returns its size.
+func (s sampling) shuffle(list []*endpoints.Endpoint) int {
+	size := min(s.size, len(list))
+	for i := range size {
+		j := i + s.pick(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return size
 }
 
 // cheaper returns the candidate of the lower cost; the first may be none.
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +25,14 @@
 	ErrGone = eris.New("schedule: caller left")
 )
 
+const (
+	// minSample is the least number of endpoints that are compared.
+	minSample = 2
+	// samplesPerShare is the number of endpoints that are compared, in an
+	// instance's equal shares of all endpoints.
+	samplesPerShare = 2
+)
+
 // Part is one part of a prompt, which other requests may share.
 type Part struct {
 	ID     string
@@ -92,16 +102,30 @@
 	Endpoints Endpoints
 	Places    func(e *endpoints.Endpoint) int
 	Now       func() time.Time
+	// Members is the number of instances that place requests on the same endpoints.
+	Members func() int
 	// Asked sums the engine time of the requests to place.
 	Asked Asked
 
+	// random returns a number from 0 to below n.
+	random func(n int) int
+
 	mu     sync.Mutex
 	queues map[string]*queue
 }
 
 // New returns a scheduler. places tells how many requests an endpoint may run at once.
 func New(list Endpoints, places func(*endpoints.Endpoint) int, now func() time.Time) *Scheduler {
-	return &Scheduler{Endpoints: list, Places: places, Now: now, queues: make(map[string]*queue)}
+	return &Scheduler{Endpoints: list, Places: places, Now: now, Members: alone, random: rand.IntN, queues: make(map[string]*queue)}
+}
+
+// alone is the number of instances where there are no others.
+func alone() int { return 1 }
+
+// sampling compares a few endpoints for each instance's share of them.
+func (s *Scheduler) sampling(list []*endpoints.Endpoint) sampling {
+	size := max(minSample, int(math.Ceil(samplesPerShare*float64(len(list))/float64(max(1, s.Members())))))
+	return sampling{size: size, pick: s.random}
 }
 
 func (s *Scheduler) queue(service string) *queue {
@@ -185,7 +209,8 @@
 
 // try takes a place for a request, or returns nil. The queue's lock is held.
 func (s *Scheduler) try(d Demand, now time.Time) *Placement {
-	c, ok := choose(s.Endpoints.Service(d.Service), d, s.Places, now)
+	list := s.Endpoints.Service(d.Service)
+	c, ok := choose(list, d, s.Places, now, s.sampling(list))
 	if !ok {
 		return nil
 	}
--- a/pkg/schedule/schedule_test.go
+++ b/pkg/schedule/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,15 +185,15 @@
 	list := table(2, 1)
 	all := list.Service("s1")
 	all[0].Broken(now)
-	c, ok := choose(all, demand(now), places, now)
+	c, ok := choose(all, demand(now), places, now, sampling{size: len(all)})
 	g.Expect(ok).To(BeTrue())
 	g.Expect(c.endpoint.ID).To(Equal("i-1"))
 	all[1].Begin(0, now)
-	_, ok = choose(all, demand(now), places, now)
+	_, ok = choose(all, demand(now), places, now, sampling{size: len(all)})
 	g.Expect(ok).To(BeFalse(), "a full endpoint is waited for rather than a broken one tried")
 	all[1].End()
 	all[1].Broken(now)
-	_, ok = choose(all, demand(now), places, now)
+	_, ok = choose(all, demand(now), places, now, sampling{size: len(all)})
 	g.Expect(ok).To(BeTrue(), "where all are broken one is tried")
 }
 
@@ -220,3 +221,26 @@
 	g.Expect(d.work(0)).To(Equal(d.work(96)), "an unknown size is taken for a large one")
 	g.Expect(Demand{}.work(12)).To(BeZero())
 }
+
+// TestManyInstancesDoNotHerd has 80 instances place 20 requests each before they
+// hear of each other: each would fill the endpoints in the same order.
+func TestManyInstancesDoNotHerd(t *testing.T) {
+	g := NewWithT(t)
+	const instances, servers, requests = 80, 90, 20
+	random := rand.New(rand.NewPCG(1, 2))
+	count := map[string]int{}
+	for range instances {
+		s := New(table(servers, 96), places, time.Now)
+		s.Members = func() int { return instances }
+		s.random = random.IntN
+		for range requests {
+			p, err := s.Place(t.Context(), demand(time.Now()))
+			g.Expect(err).NotTo(HaveOccurred())
+			count[p.Endpoint.ID]++
+		}
+	}
+	mean := instances * requests / servers
+	for id, n := range count {
+		g.Expect(n).To(BeNumerically("<=", 2*mean), id)
+	}
+}
