Give up on-demand instances that fill the limit of their data centre

Cause: after a dry time the 5 on-demand instances of the cheapest data centre left room for one reclaimable one of 3 there (the limit counts both), and were kept until all wanted ones were present: 12 s longer than needed. Ruled out: a demand that fell late (the release came right after more were ordered elsewhere). Test: TestOnDemandOnesDoNotBlockTheirDataCentre.

--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -157,7 +157,7 @@
 	for _, dc := range s.Scaling.DataCentres() {
 		for _, reclaimable := range []bool{true, false} {
 			place := Place{DataCentre: dc, Reclaimable: reclaimable}
-			if count, due := state.due(place, want, present, s.Scaling.Boot, now); due {
+			if count, due := state.due(place, want, present, s.Scaling, now); due {
 				p.order(ctx, state, s, Order{Service: s.Name, DataCentre: dc, Reclaimable: reclaimable, Count: count})
 			}
 		}
--- a/pkg/scaling/scaling_test.go
+++ b/pkg/scaling/scaling_test.go
@@ -324,3 +324,20 @@
 		})
 	})
 }
+
+// TestOnDemandOnesDoNotBlockTheirDataCentre has on-demand instances fill a data
+// centre's limit after a dry time: the reclaimable ones that lack there must not
+// keep them.
+func TestOnDemandOnesDoNotBlockTheirDataCentre(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s := newService(false, now.Add(-time.Minute))
+	want := map[Place]int{spot("a"): 3, spot("b"): 3, spot("c"): 3, spot("d"): 3, steady("b"): 0}
+	present := map[Place]int{spot("a"): 3, spot("b"): 1, spot("c"): 3, spot("d"): 3, steady("b"): 5}
+	s.ordered[steady("b")] = order{count: 5, at: now.Add(-time.Minute)}
+	_, due := s.due(steady("b"), want, present, prices(), now)
+	g.Expect(due).To(BeFalse(), "a surplus has to last")
+	count, due := s.due(steady("b"), want, present, prices(), now.Add(stepInterval))
+	g.Expect(due).To(BeTrue())
+	g.Expect(count).To(BeZero())
+}
--- a/pkg/scaling/service.go
+++ b/pkg/scaling/service.go
@@ -1,6 +1,10 @@
 package scaling
 
-import "time"
+import (
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/routing"
+)
 
 const (
 	// repeatAfter is the time beyond the boot after which an order that shows no
@@ -61,7 +65,7 @@
 }
 
 // due tells whether an order for a place is to be given, and for how many.
-func (s *service) due(place Place, want, present map[Place]int, boot time.Duration, now time.Time) (int, bool) {
+func (s *service) due(place Place, want, present map[Place]int, limits *routing.Scaling, now time.Time) (int, bool) {
 	wanted, have := want[place], present[place]
 	last, known := s.ordered[place]
 	if !known {
@@ -69,13 +73,13 @@
 	}
 	lost := have < s.seen[place]
 	s.seen[place] = have
-	missing := have < wanted && (lost || now.Sub(last.at) > boot+repeatAfter)
+	missing := have < wanted && (lost || now.Sub(last.at) > limits.Boot+repeatAfter)
 	switch {
 	case wanted > last.count || missing:
 		delete(s.surplus, place)
 		return wanted, !s.recently(place, now)
 	case wanted < last.count && have > wanted && (place.Reclaimable || s.plenty(now)):
-		return s.release(place, want, present, now)
+		return s.release(place, want, present, limits.Max, now)
 	}
 	delete(s.surplus, place)
 	return 0, false
@@ -104,7 +108,9 @@
 }
 
 // release gives up a surplus that has lasted, if what stays is enough without it.
-func (s *service) release(place Place, want, present map[Place]int, now time.Time) (int, bool) {
+// most is the most instances of both kinds in a data centre: what is wanted of
+// one kind there can't be had beside too many of the other.
+func (s *service) release(place Place, want, present map[Place]int, most int, now time.Time) (int, bool) {
 	since, ok := s.surplus[place]
 	if !ok {
 		s.surplus[place] = now
@@ -118,8 +124,9 @@
 		return 0, false
 	}
 	total, have := 0, 0
-	for _, n := range want {
-		total += n
+	for at, n := range want {
+		other := Place{DataCentre: at.DataCentre, Reclaimable: !at.Reclaimable}
+		total += max(0, min(n, most-present[other]))
 	}
 	for at, n := range present {
 		have += n
