Let the last holder return after an outage, whatever its rank

A hold that had ended stood until the next step, which a process that is no candidate doesn't make. Test: TestTheLastHolderReturnsAfterAnOutage fails without.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -42,8 +42,8 @@
 	Log   *slog.Logger
 	Now   func() time.Time
 	// Candidate tells whether this process should hold the lease if it is free,
-	// so that only a few of many processes watch it. returning is true if an
-	// earlier start of this process held it last.
+	// so that only a few of many processes watch it. returning is true if this
+	// process or an earlier start of it held it last.
 	Candidate func(returning bool) bool
 }
 
@@ -104,7 +104,7 @@
 // step makes the machine's next call.
 func (l *Lease) step(ctx context.Context) {
 	l.mu.Lock()
-	returning := l.machine.Returning()
+	returning := l.machine.Returning(l.Now())
 	l.mu.Unlock()
 	candidate := l.Candidate(returning)
 	if _, held := l.Held(); !held && !candidate {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -7,12 +7,14 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/objectstore/memstore"
 )
 
@@ -98,3 +100,55 @@
 		}
 	})
 }
+
+// outage is a store that refuses all calls while it is down.
+type outage struct {
+	*memstore.Store
+	down atomic.Bool
+}
+
+func (o *outage) Get(ctx context.Context, key string) (objectstore.Object, error) {
+	if o.down.Load() {
+		return objectstore.Object{}, objectstore.ErrUnknown
+	}
+	return o.Store.Get(ctx, key)
+}
+
+func (o *outage) Update(ctx context.Context, key string, value []byte, version uint64) (objectstore.Object, error) {
+	if o.down.Load() {
+		return objectstore.Object{}, objectstore.ErrUnknown
+	}
+	return o.Store.Update(ctx, key, value, version)
+}
+
+// TestTheLastHolderReturnsAfterAnOutage has a holder that is no candidate any
+// more lose the store for longer than its lease: it takes the lease again, before
+// the candidates could.
+func TestTheLastHolderReturnsAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := &outage{Store: memstore.New()}
+		l := newLease(store.Store, "a")
+		l.Store = store
+		first := true
+		l.Candidate = func(returning bool) bool { return first || returning }
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = l.Run(ctx) })
+		time.Sleep(10 * time.Second)
+		first = false
+		_, ok := l.Held()
+		g.Expect(ok).To(BeTrue())
+		store.down.Store(true)
+		time.Sleep(2 * DefaultDuration)
+		_, ok = l.Held()
+		g.Expect(ok).To(BeFalse())
+		store.down.Store(false)
+		time.Sleep(DefaultDuration / 4)
+		fence, ok := l.Held()
+		g.Expect(ok).To(BeTrue())
+		g.Expect(fence).To(BeEquivalentTo(2))
+		stop()
+		running.Wait()
+	})
+}
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -171,9 +171,12 @@
 	return m.seen.Holder == m.Self || m.Owner != "" && m.seen.Owner == m.Owner
 }
 
-// Returning tells whether an earlier start of this process is known to have held
-// the lease last.
-func (m *Machine) Returning() bool { return m.known && m.fence == 0 && m.ours() }
+// Returning tells whether this process, or an earlier start of it, held the lease
+// last as far as it knows, and doesn't hold it now.
+func (m *Machine) Returning(now time.Time) bool {
+	_, _, held := m.Held(now)
+	return !held && m.seen.Version != 0 && m.ours()
+}
 
 func (m *Machine) jitter() time.Duration {
 	divisor := jitterDivisor
--- a/pkg/lease/poll_test.go
+++ b/pkg/lease/poll_test.go
@@ -60,6 +60,7 @@
 	m.Lost(now)
 	now = now.Add(2 * time.Second)
 	g.Expect(m.Next(now, true).Kind).To(Equal(Read))
+	g.Expect(m.Returning(now)).To(BeTrue(), "it looks again, whatever its rank")
 	m.Saw(now, Stored{Record: a.Record, Version: 1})
 	again := m.Next(now, true)
 	g.Expect(again.Kind).To(Equal(Write), "it needn't wait")
@@ -74,7 +75,7 @@
 	m.Owner = "a"
 	now := time.Unix(0, 0)
 	m.Saw(now, Stored{Record: Record{Holder: "a/1", Owner: "a", Fence: 4, WriteID: "x"}, Version: 7})
-	g.Expect(m.Returning()).To(BeTrue())
+	g.Expect(m.Returning(now)).To(BeTrue())
 	a := m.Next(now, true)
 	g.Expect(a.Kind).To(Equal(Write))
 	g.Expect(a.Record.Fence).To(BeEquivalentTo(5))
@@ -82,6 +83,6 @@
 	other := pollingMachine("b/1")
 	other.Owner = "b"
 	other.Saw(now, Stored{Record: Record{Holder: "a/1", Owner: "a", Fence: 4, WriteID: "x"}, Version: 7})
-	g.Expect(other.Returning()).To(BeFalse())
+	g.Expect(other.Returning(now)).To(BeFalse())
 	g.Expect(other.Next(now, true).Kind).NotTo(Equal(Write))
 }
