Share the object in which holders of a duty hand on their state

The reporter of the usage and the planner each read, decoded and conditionally replaced their state; lease.State does it once.

--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -130,13 +130,14 @@
 		store := &outage{Store: memstore.New()}
 		l := newLease(store.Store, "a")
 		l.Store = store
-		first := true
-		l.Candidate = func(returning bool) bool { return first || returning }
+		var first atomic.Bool
+		first.Store(true)
+		l.Candidate = func(returning bool) bool { return first.Load() || returning }
 		ctx, stop := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { _ = l.Run(ctx) })
 		time.Sleep(10 * time.Second)
-		first = false
+		first.Store(false)
 		_, ok := l.Held()
 		g.Expect(ok).To(BeTrue())
 		store.down.Store(true)
--- /dev/null
+++ b/pkg/lease/state.go
@@ -0,0 +1,69 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/medlarsill/medlarsill/pkg/objectstore"
+)
+
+// Errors of handed on state.
+var (
+	// ErrStateUnreadable means that the stored state can't be decoded; the next
+	// Save replaces it.
+	ErrStateUnreadable = eris.New("lease: state unreadable")
+	// ErrStateNotMine means that another process wrote the state meanwhile.
+	ErrStateNotMine = eris.New("lease: another holder wrote the state")
+)
+
+// State is the object in which the holders of a duty hand on what the next one
+// has to know. It isn't safe for concurrent use.
+type State struct {
+	Store objectstore.Store
+	Key   string
+
+	version uint64
+}
+
+// Load reads the state into v; false if none was stored yet. It begins a hold:
+// Save then writes over what was read.
+func (s *State) Load(ctx context.Context, v any) (found bool, err error) {
+	s.version = 0
+	o, err := s.Store.Get(ctx, s.Key)
+	if errors.Is(err, objectstore.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	s.version = o.Version
+	if err := json.Unmarshal(o.Value, v); err != nil {
+		return false, eris.Wrap(ErrStateUnreadable, err.Error())
+	}
+	return true, nil
+}
+
+// Save replaces the state if nobody has written it since it was read or saved.
+func (s *State) Save(ctx context.Context, v any) error {
+	value, err := json.Marshal(v)
+	if err != nil {
+		return eris.Wrap(err, "lease: encode state")
+	}
+	var o objectstore.Object
+	if s.version == 0 {
+		o, err = s.Store.Create(ctx, s.Key, value)
+	} else {
+		o, err = s.Store.Update(ctx, s.Key, value, s.version)
+	}
+	if errors.Is(err, objectstore.ErrConflict) {
+		return ErrStateNotMine
+	}
+	if err != nil {
+		return err
+	}
+	s.version = o.Version
+	return nil
+}
--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/medlarsill/medlarsill/pkg/cloud"
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 )
@@ -62,9 +63,9 @@
 	wake     chan struct{}
 	fence    uint64
 	services map[string]*service
-	// version is the version of the stored state, saved when it was written last,
-	// and changed whether there was an order since.
-	version uint64
+	// stored holds what is handed on, saved is when it was written last, and
+	// changed tells whether there was an order since.
+	stored  lease.State
 	saved   time.Time
 	changed bool
 }
--- a/pkg/scaling/scaling_test.go
+++ b/pkg/scaling/scaling_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"log/slog"
 	"math"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,19 +107,23 @@
 type market struct {
 	table *endpoints.Table
 	want  map[Place]int
-	born  int
-	dry   bool
+	born  atomic.Int64
+	dry   atomic.Bool
 	// planner gives the orders.
 	planner *Planner
 	// orders counts the orders, refused the refused ones.
-	orders, refused int
+	orders, refused atomic.Int64
+	// mu protects want: instances boot from timers of their own.
+	mu sync.Mutex
 }
 
 func (m *market) Order(_ context.Context, _ uint64, o Order) error {
-	m.orders++
+	m.orders.Add(1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	place := Place{DataCentre: o.DataCentre, Reclaimable: o.Reclaimable}
-	if o.Reclaimable && m.dry && o.Count > m.have(place) {
-		m.refused++
+	if o.Reclaimable && m.dry.Load() && o.Count > m.have(place) {
+		m.refused.Add(1)
 		return cloud.ErrRefused
 	}
 	before := m.want[place]
@@ -132,8 +138,8 @@
 }
 
 func (m *market) add(p Place) {
-	m.born++
-	m.table.Put(endpoints.Info{ID: fmt.Sprintf("i-%d", m.born), Service: "s1", Addr: "10.0.0.1:80", DataCentre: p.DataCentre, Reclaimable: p.Reclaimable})
+	born := m.born.Add(1) // instances that boot together come from timers of their own
+	m.table.Put(endpoints.Info{ID: fmt.Sprintf("i-%d", born), Service: "s1", Addr: "10.0.0.1:80", DataCentre: p.DataCentre, Reclaimable: p.Reclaimable})
 }
 
 func (m *market) have(p Place) int {
@@ -160,18 +166,32 @@
 	for m.have(spot(dc)) > 0 {
 		m.drop(spot(dc))
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.want[spot(dc)] = 0
 }
 
 func (m *market) total() int { return len(m.table.Service("s1")) }
 
 type steadyLoad struct {
+	// mu protects engines, which tests change.
+	mu      sync.Mutex
 	engines float64
 	// unknown is true while the load hasn't been observed.
 	unknown bool
 }
 
-func (l *steadyLoad) Engines(*routing.Service) (float64, bool) { return l.engines, !l.unknown }
+func (l *steadyLoad) Engines(*routing.Service) (float64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.engines, !l.unknown
+}
+
+func (l *steadyLoad) set(engines float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.engines = engines
+}
 
 type alwaysHeld struct{}
 
@@ -196,9 +216,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- m.planner.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-done
+	}()
 	body(m)
-	cancel()
-	<-done
 }
 
 func newPlanner(m *market, store objectstore.Store, load *steadyLoad, first bool) *Planner {
@@ -216,13 +238,14 @@
 		g := NewWithT(t)
 		load := &steadyLoad{engines: 9}
 		plan(load, false, func(m *market) {
-			time.Sleep(2 * time.Second)
-			orders := m.orders
+			// Between two steps of the holder, which goes on in this test.
+			time.Sleep(2*time.Second + stepInterval/2)
+			orders := m.orders.Load()
 			g.Expect(orders).NotTo(BeZero())
 			next := newPlanner(m, m.planner.Store, &steadyLoad{unknown: true}, false)
 			g.Expect(next.step(t.Context())).To(Succeed())
 			g.Expect(next.services["s1"].demand).To(BeNumerically("~", 9, 1))
-			g.Expect(m.orders).To(Equal(orders), "nothing is ordered twice or taken back")
+			g.Expect(m.orders.Load()).To(Equal(orders), "nothing is ordered twice or taken back")
 		})
 	})
 }
@@ -232,7 +255,7 @@
 		g := NewWithT(t)
 		plan(&steadyLoad{unknown: true}, false, func(m *market) {
 			time.Sleep(5 * time.Second)
-			g.Expect(m.orders).To(BeZero())
+			g.Expect(m.orders.Load()).To(BeZero())
 		})
 	})
 }
@@ -258,7 +281,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		plan(&steadyLoad{}, true, func(m *market) {
-			m.dry = true
+			m.dry.Store(true)
 			for range 80 {
 				time.Sleep(100 * time.Millisecond)
 				g.Expect(m.total()).To(BeNumerically(">=", 4))
@@ -289,14 +312,14 @@
 		load := &steadyLoad{engines: 5}
 		plan(load, false, func(m *market) {
 			time.Sleep(30 * time.Second)
-			m.dry = true
+			m.dry.Store(true)
 			for _, dc := range []string{"a", "b", "c", "d"} {
 				m.reclaim(dc)
 				time.Sleep(5 * time.Second)
 				g.Expect(m.total()).To(BeNumerically(">=", 4), "after "+dc)
 			}
-			g.Expect(m.refused).To(BeNumerically("<=", 30), "orders that are refused aren't repeated in haste")
-			m.dry = false
+			g.Expect(m.refused.Load()).To(BeNumerically("<=", 30), "orders that are refused aren't repeated in haste")
+			m.dry.Store(false)
 			time.Sleep(30 * time.Second)
 			on := 0
 			for _, dc := range []string{"a", "b", "c", "d"} {
@@ -315,12 +338,12 @@
 		load := &steadyLoad{engines: 6}
 		plan(load, false, func(m *market) {
 			time.Sleep(30 * time.Second)
-			before := m.orders
+			before := m.orders.Load()
 			for i := range 120 {
-				load.engines = 6 + 0.4*float64(i%2)
+				load.set(6 + 0.4*float64(i%2))
 				time.Sleep(500 * time.Millisecond)
 			}
-			g.Expect(m.orders - before).To(BeNumerically("<=", 4))
+			g.Expect(m.orders.Load() - before).To(BeNumerically("<=", 4))
 		})
 	})
 }
--- a/pkg/scaling/state.go
+++ b/pkg/scaling/state.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
-	"github.com/rotisserie/eris"
-
-	"github.com/medlarsill/medlarsill/pkg/objectstore"
+	"github.com/medlarsill/medlarsill/pkg/lease"
 )
 
 const (
@@ -45,24 +42,21 @@
 
 // load reads what the last holder handed on.
 func (p *Planner) load(ctx context.Context, now time.Time) error {
-	p.services, p.version = make(map[string]*service), 0
-	o, err := p.Store.Get(ctx, stateKey)
-	if errors.Is(err, objectstore.ErrNotFound) {
+	p.services = make(map[string]*service)
+	p.stored = lease.State{Store: p.Store, Key: stateKey}
+	var r record
+	found, err := p.stored.Load(ctx, &r)
+	if errors.Is(err, lease.ErrStateUnreadable) {
+		p.Log.Error("capacity state not taken over", "error", err.Error())
 		return nil
 	}
-	if err != nil {
+	if err != nil || !found {
 		return err
 	}
-	p.version = o.Version
-	var r record
-	if err := json.Unmarshal(o.Value, &r); err != nil {
-		p.Log.Error("capacity state unreadable", "error", err.Error(), "version", o.Version)
-		return nil
-	}
 	for name, s := range r.Services {
 		p.services[name] = restored(s, r.SavedMS, now)
 	}
-	p.Log.Info("capacity state read", "version", o.Version, "services", len(r.Services), "age_ms", now.UnixMilli()-r.SavedMS)
+	p.Log.Info("capacity state read", "services", len(r.Services), "age_ms", now.UnixMilli()-r.SavedMS)
 	return nil
 }
 
@@ -103,20 +97,10 @@
 	for name, s := range p.services {
 		r.Services[name] = s.record()
 	}
-	value, err := json.Marshal(r)
-	if err != nil {
-		return eris.Wrap(err, "scaling: encode state")
-	}
-	var o objectstore.Object
-	if p.version == 0 {
-		o, err = p.Store.Create(ctx, stateKey, value)
-	} else {
-		o, err = p.Store.Update(ctx, stateKey, value, p.version)
-	}
-	if err != nil {
+	if err := p.stored.Save(ctx, r); err != nil {
 		return err
 	}
-	p.version, p.saved, p.changed = o.Version, now, false
+	p.saved, p.changed = now, false
 	return nil
 }
 
--- a/pkg/usage/report.go
+++ b/pkg/usage/report.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
 )
@@ -25,9 +25,6 @@
 	callTime = 800 * time.Millisecond
 )
 
-// errNotMine means that another process wrote the duty's state meanwhile.
-var errNotMine = eris.New("usage: another holder wrote the state")
-
 // Lease tells whether this process holds the duty.
 type Lease interface {
 	Held() (fence uint64, ok bool)
@@ -54,19 +51,10 @@
 // LastSaved returns when a holder of the duty last stored its state: until then
 // instances were surely at work. It is zero if none ever did.
 func LastSaved(ctx context.Context, store objectstore.Store) (time.Time, error) {
-	o, err := store.Get(ctx, stateKey)
-	if errors.Is(err, objectstore.ErrNotFound) {
-		return time.Time{}, nil
-	}
-	if err != nil {
-		return time.Time{}, err
-	}
 	var s state
-	if err := json.Unmarshal(o.Value, &s); err != nil {
-		return time.Time{}, eris.Wrap(err, "usage: decode state")
-	}
-	if s.SavedMS == 0 {
-		return time.Time{}, nil
+	stored := lease.State{Store: store, Key: stateKey}
+	if _, err := stored.Load(ctx, &s); err != nil || s.SavedMS == 0 {
+		return time.Time{}, err
 	}
 	return time.UnixMilli(s.SavedMS), nil
 }
@@ -80,9 +68,9 @@
 	Log      *slog.Logger
 
 	// fence is the hold for which the state was read; 0 if none was.
-	fence   uint64
-	version uint64
-	state   state
+	fence  uint64
+	stored lease.State
+	state  state
 	// first is the window in which this duty was first held.
 	first int64
 }
@@ -118,24 +106,22 @@
 
 // load reads what the last holder handed on.
 func (r *Reporter) load(ctx context.Context) error {
-	r.state, r.version = state{}, 0
-	o, err := r.Store.Get(ctx, stateKey)
-	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
+	r.state = state{}
+	r.stored = lease.State{Store: r.Store, Key: stateKey}
+	_, err := r.stored.Load(ctx, &r.state)
+	if errors.Is(err, lease.ErrStateUnreadable) {
+		r.Log.Error("usage state not taken over", "error", err.Error())
+		r.state = state{}
+	} else if err != nil {
 		return err
 	}
-	if err == nil {
-		if err := json.Unmarshal(o.Value, &r.state); err != nil {
-			r.Log.Error("usage state unreadable", "error", err.Error(), "version", o.Version)
-		}
-		r.version = o.Version
-	}
 	for index, sources := range r.state.Counts {
 		for source, c := range sources {
 			r.Ledger.Merge(source, map[int64]map[string]int{index: c})
 		}
 	}
 	r.first = r.Ledger.Index(r.Ledger.Now())
-	r.Log.Info("usage state read", "version", r.version, "final", len(r.state.Final))
+	r.Log.Info("usage state read", "saved_ms", r.state.SavedMS, "final", len(r.state.Final))
 	return nil
 }
 
@@ -158,23 +144,10 @@
 			next.Reported[index] = true
 		}
 	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return eris.Wrap(err, "usage: encode state")
-	}
-	var o objectstore.Object
-	if r.version == 0 {
-		o, err = r.Store.Create(ctx, stateKey, value)
-	} else {
-		o, err = r.Store.Update(ctx, stateKey, value, r.version)
-	}
-	if errors.Is(err, objectstore.ErrConflict) {
-		return errNotMine
-	}
-	if err != nil {
+	if err := r.stored.Save(ctx, next); err != nil {
 		return err
 	}
-	r.state, r.version = next, o.Version
+	r.state = next
 	return nil
 }
 
