Bound what a peer's first total takes off an allowance

Cause, found by reading: a peer's whole total since its start was charged when it was first heard; one that had been cut off for an hour would have emptied the accounts of its peers for as long, though its part had been set aside. Change: of a start that is older than the time of silence no more is charged than the credit and the first part; what was saved up in an idle time counts only until peers would have been heard. Test: TestAPeerThatIsHeardLateIsNotChargedAgain fails without.

--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -185,9 +185,10 @@
 	return a
 }
 
-// saved is what a limit has saved up while no instance was at work.
+// saved is what a limit has saved up while no instance was at work; nothing any
+// more once peers would have told otherwise.
 func (b *Book) saved(rate float64, now time.Time) float64 {
-	if b.idleSince.IsZero() {
+	if b.idleSince.IsZero() || now.Sub(b.began) > b.Silence() {
 		return 0
 	}
 	return rate * max(0, now.Sub(b.idleSince).Seconds())
@@ -359,47 +360,67 @@
 	b.heard[id] = true
 	p, known := b.peers[id]
 	silent := known && now.Sub(p.heard) > b.Silence()
-	untold := false
+	first := firstTotal{}
 	if !known || p.boot != boot {
-		untold = b.started(id, boot, known)
+		first = b.started(id, boot, known, now)
 		p, silent = b.peers[id], false
 	}
 	for name, total := range totals {
 		if a, ok := b.accounts[name]; ok {
 			b.settle(a, now)
-			a.hear(id, total, now, untold, silent)
+			if first.is {
+				a.begin(id, total, b.charge(a, first, total), now)
+			} else {
+				a.hear(id, total, now, silent)
+			}
 		}
 	}
 	p.heard = now
 	b.forget(now)
 }
 
-// started notes a start of a peer that hasn't been heard yet. It returns true if
-// the peer's total so far says nothing of the time since this process started.
-func (b *Book) started(id string, boot uint64, known bool) (untold bool) {
+// firstTotal tells what is made of the first total of a peer's start.
+type firstTotal struct {
+	// is is true for the first total, and ignored if nothing is known of the time
+	// before it. atMost bounds what counts to what the peer may have admitted
+	// beyond the part that was set aside for it.
+	is, ignored, atMost bool
+}
+
+// started notes a start of a peer that hasn't been heard yet.
+func (b *Book) started(id string, boot uint64, known bool, now time.Time) firstTotal {
 	b.peers[id] = &peer{boot: boot}
 	b.dropReports(id)
-	if known {
-		return false
-	}
-	if b.idleSince.IsZero() {
-		return true
-	}
-	if time.Unix(0, int64(boot)).Before(b.idleSince) {
+	at := time.Unix(0, int64(boot))
+	idle := !b.idleSince.IsZero()
+	if idle && at.Before(b.idleSince) {
 		b.atWork()
-		return true
+		idle = false
 	}
-	return false
+	return firstTotal{is: true, ignored: !known && !idle, atMost: now.Sub(at) > b.Silence()}
 }
 
-// hear takes a peer's total. What it used beyond the assumption comes off the
-// level; what it used less goes back.
-func (a *account) hear(id string, total float64, now time.Time, untold, silent bool) {
-	r, ok := a.reports[id]
-	if untold {
-		a.reports[id] = &report{total: total, at: now}
-		return
+// charge is what of a peer's first total comes off an account.
+func (b *Book) charge(a *account, f firstTotal, total float64) float64 {
+	switch {
+	case f.ignored:
+		return 0
+	case f.atMost:
+		return min(total, b.Credit+a.limit.Rate*firstSpan.Seconds()/float64(max(1, b.Members())))
 	}
+	return total
+}
+
+// begin takes the first total of a peer's start, of which a part is charged.
+func (a *account) begin(id string, total, charge float64, now time.Time) {
+	a.level -= charge
+	a.reports[id] = &report{total: total, at: now}
+}
+
+// hear takes a peer's further total. What it used beyond the assumption comes off
+// the level; what it used less goes back.
+func (a *account) hear(id string, total float64, now time.Time, silent bool) {
+	r, ok := a.reports[id]
 	if !ok {
 		// The peer told its totals before, and none of this workspace.
 		r = &report{at: now}
--- a/pkg/allowance/allowance_test.go
+++ b/pkg/allowance/allowance_test.go
@@ -375,6 +375,23 @@
 	g.Expect(b.accounts["w1"].level).To(BeNumerically("<=", 0), "a peer was at work all the while")
 }
 
+// TestAPeerThatIsHeardLateIsNotChargedAgain has a peer start beside this process
+// and be heard a minute later: an equal part was set aside for it all the while.
+func TestAPeerThatIsHeardLateIsNotChargedAgain(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{now: time.Unix(1000, 0)}
+	b := newBook(c, 2)
+	w := workspace(1000, 1000)
+	b.Open([]routing.Workspace{w})
+	b.Rested(c.now.Add(-time.Second))
+	boot := uint64(c.now.UnixNano())
+	c.now = c.now.Add(time.Minute)
+	b.Heard("p", boot, map[string]float64{"w1": 30_000})
+	_, ok := b.Take(&w, 10, false)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(b.accounts["w1"].level).To(BeNumerically(">", 0))
+}
+
 // TestARestartedPeerBeginsAnew has a peer restart that told a large total: its
 // next small one is no refund.
 func TestARestartedPeerBeginsAnew(t *testing.T) {
