Let a few instances watch the store for all in a large fleet

From 24 instances on, the four ready ones of the lowest ranks watch the store and tell all others by datagram what each watch has shown, from which position to which. A follower that hears no relay for a second, or misses changes, watches the store itself; so do all in a small fleet, where nothing changes. Nothing is agreed on or kept.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/gossip"
+	"github.com/medlarsill/medlarsill/pkg/objectstore/counted"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
+	"github.com/medlarsill/medlarsill/pkg/sharedwatch"
 	"github.com/medlarsill/medlarsill/pkg/truetime"
 	"github.com/medlarsill/medlarsill/pkg/usage"
+	"github.com/medlarsill/medlarsill/platform"
 )
 
 const (
@@ -26,6 +30,17 @@
 	storedSource = "stored"
 )
 
+// shareWatches returns the store, whose watches are shared with the peers.
+func (p *process) shareWatches(client *http.Client) *sharedwatch.Store {
+	calls := platform.NewStore(p.cfg.ObjectAPI, client, func() time.Duration { return p.watches.Hold() })
+	return sharedwatch.New(sharedwatch.Options{
+		Store: counted.New(calls, p.metrics), Metrics: p.metrics, Log: p.log, Now: time.Now,
+		Rank:    func() int { return p.node.Rank() },
+		Members: func() int { return p.node.Members() },
+		Tell:    func(data []byte) { p.node.Tell(data) },
+	})
+}
+
 // joinPeers sets up what this instance tells its peers and hears of them.
 func (p *process) joinPeers() {
 	boot := uint64(time.Now().UnixNano())
@@ -37,7 +52,7 @@
 	ip := netip.MustParseAddr(p.cfg.IP)
 	p.node = gossip.NewNode(gossip.Options{
 		ID: p.cfg.ID, Boot: boot, Listen: netip.AddrPortFrom(ip, uint16(p.cfg.PeerPort)),
-		Fill: p.fill, Heard: p.heard, Log: p.log, Now: time.Now,
+		Fill: p.fill, Heard: p.heard, Changes: p.watches.Heard, Log: p.log, Now: time.Now,
 	})
 	p.loads = endpoints.NewPeerLoads(p.table, p.node.Silence, time.Now)
 	p.registry = &gossip.Registry{Store: p.store, Node: p.node, Log: p.log, Now: time.Now, Remover: func() bool {
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -23,12 +23,12 @@
 	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/logging"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
-	"github.com/medlarsill/medlarsill/pkg/objectstore/counted"
 	"github.com/medlarsill/medlarsill/pkg/retry"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
 	"github.com/medlarsill/medlarsill/pkg/schedule"
 	"github.com/medlarsill/medlarsill/pkg/settings"
+	"github.com/medlarsill/medlarsill/pkg/sharedwatch"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
 	"github.com/medlarsill/medlarsill/pkg/truetime"
 	"github.com/medlarsill/medlarsill/pkg/upstream"
@@ -63,6 +63,7 @@
 	log       *slog.Logger
 	metrics   *prometheus.Registry
 	store     objectstore.Store
+	watches   *sharedwatch.Store
 	config    *routing.Follower
 	table     *endpoints.Table
 	follower  *endpoints.Follower
@@ -92,7 +93,8 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: storeConns, IdleConnTimeout: storeIdle,
 	}}
-	p.store = counted.New(platform.NewStore(cfg.ObjectAPI, client), p.metrics)
+	p.watches = p.shareWatches(client)
+	p.store = p.watches
 	p.config = routing.NewFollower(routing.FollowerOptions{Store: p.store, Prefix: platform.ConfigPrefix, Newest: platform.IsConfig, Decode: platform.DecodeConfig, Log: log, Now: time.Now,
 		Changed: func(t *routing.Table) { p.book.Open(t.Workspaces) }})
 	p.table = endpoints.NewTable(p.endpointsChanged)
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -51,6 +51,9 @@
 	Speeds map[string]speed.Shared `cbor:"11,keyasint,omitempty"`
 	// Fence is the largest fencing number of the duties that the sender knows of.
 	Fence uint64 `cbor:"13,keyasint,omitempty"`
+	// Changes is what the sender's watch of the object store has shown. A message with
+	// changes holds nothing else but its sender.
+	Changes []byte `cbor:"14,keyasint,omitempty"`
 	// Usage holds the requests that began to run, by usage window and workspace.
 	Usage map[int64]map[string]int `cbor:"8,keyasint,omitempty"`
 }
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -25,6 +25,8 @@
 	// maxNewcomers is the number of newcomers that may wait for a message; others
 	// get one in their turn.
 	maxNewcomers = 64
+	// maxChanges is the number of messages with changes that may wait to be sent.
+	maxChanges = 64
 )
 
 // Options holds what a node is made of. All fields are needed.
@@ -35,10 +37,11 @@
 	Listen netip.AddrPort
 	// Fill adds this instance's state to a message.
 	Fill func(m *Message)
-	// Heard takes a peer's message.
-	Heard func(m Message)
-	Log   *slog.Logger
-	Now   func() time.Time
+	// Heard takes a peer's message, Changes what a peer's watch has shown.
+	Heard   func(m Message)
+	Changes func(data []byte)
+	Log     *slog.Logger
+	Now     func() time.Time
 }
 
 // Node sends and receives the messages of one instance.
@@ -55,6 +58,8 @@
 	newcomers chan netip.AddrPort
 	// departed holds the newest start of each peer that has said that it leaves.
 	departed map[string]uint64
+	// changes holds what is to be told to all peers at once.
+	changes chan []byte
 	// leaving asks for the last messages, and left is true from then on.
 	leaving chan chan struct{}
 	left    bool
@@ -82,7 +87,7 @@
 func NewNode(o Options) *Node {
 	return &Node{
 		Options: o, peers: make(map[string]*peer), members: 1, newcomers: make(chan netip.AddrPort, maxNewcomers),
-		departed: make(map[string]uint64), leaving: make(chan chan struct{}),
+		changes: make(chan []byte, maxChanges), departed: make(map[string]uint64), leaving: make(chan chan struct{}),
 	}
 }
 
@@ -184,7 +189,11 @@
 			n.Log.Warn("message ignored", "from", from.String(), "error", err.Error())
 			continue
 		}
-		if n.take(m, from) {
+		switch {
+		case m.ID == n.ID:
+		case m.Changes != nil:
+			n.Changes(m.Changes)
+		case n.take(m, from):
 			n.Heard(m)
 		}
 	}
@@ -262,6 +271,8 @@
 				newest = n.message(nil)
 			}
 			write(conn, newest, addr)
+		case data := <-n.changes:
+			n.sendChanges(conn, data)
 		case <-turn.C:
 			newest = n.message(newest)
 			for _, addr := range n.targets() {
