--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -50,7 +50,7 @@
 	p.reporter = &usage.Reporter{Ledger: p.usage, Store: p.store, Lease: p.duty, Platform: calls, Log: p.log}
 	p.planner = scaling.NewPlanner(scaling.Options{
 		Config: p.config, Endpoints: p.table, Load: p.meter, Lease: p.duty, Store: p.store, Platform: calls, Log: p.log, Now: time.Now,
-		Speeds: p.scheduler.Speeds, FirstStart: p.cfg.FirstStart,
+		Speeds: p.scheduler.Speeds, Metrics: p.metrics, FirstStart: p.cfg.FirstStart,
 	})
 }
 
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/routing"
@@ -37,7 +38,9 @@
 		return &refusal{status: http.StatusBadRequest, reason: "no request id"}
 	}
 	c.route = route
-	c.first = c.arrived.Add(-g.patience.spent(route.Name, c.meta.Deadline))
+	spent := g.patience.spent(route.Name, c.meta.Deadline)
+	g.Metrics.Arrived.WithLabelValues(strconv.FormatBool(spent > 0)).Inc()
+	c.first = c.arrived.Add(-spent)
 	c.priority = route.Priority
 	c.service = route.Pick(g.Random())
 	c.deadline = c.arrived.Add(timeout(route, c.meta))
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -4,6 +4,9 @@
 
 // Metrics counts the calls by their ends.
 type Metrics struct {
+	// Arrived counts the calls on routes that arrive, by whether the caller seems to have
+	// sent the request before.
+	Arrived *prometheus.CounterVec
 	// Refused counts the answers of the gateway's own by reason.
 	Refused *prometheus.CounterVec
 	// Answered holds the times of answered calls in seconds, by kind of route.
@@ -15,6 +18,9 @@
 // NewMetrics registers the metrics.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		Arrived: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "medlarsill_gateway_arrived_total", Help: "Calls that arrive, by whether their caller seems to have come before.",
+		}, []string{"returning"}),
 		Refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "medlarsill_gateway_refused_total", Help: "Answers of the gateway's own, by reason.",
 		}, []string{"reason"}),
@@ -27,6 +33,6 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}),
 	}
-	reg.MustRegister(m.Refused, m.Answered, m.FirstEvent)
+	reg.MustRegister(m.Arrived, m.Refused, m.Answered, m.FirstEvent)
 	return m
 }
--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/medlarsill/medlarsill/pkg/cloud"
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/lease"
@@ -19,6 +21,8 @@
 	stepInterval = 500 * time.Millisecond
 	// callTime is the longest time of one order, for which the lease must last.
 	callTime = 800 * time.Millisecond
+	// showInterval is the time between two log lines on the demand of a service.
+	showInterval = 5 * time.Second
 )
 
 // Lease tells whether this process holds the duty.
@@ -56,6 +60,8 @@
 	Now       func() time.Time
 	// Speeds holds what was learnt of the endpoints, which is handed on.
 	Speeds *speed.Model
+	// Metrics is where the demand and the capacity are shown; nil for nowhere.
+	Metrics prometheus.Registerer
 	// FirstStart tells that no work was under way when this process started.
 	FirstStart bool
 }
@@ -63,6 +69,7 @@
 // Planner carries out the duty of ordering capacity.
 type Planner struct {
 	Options
+	metrics  *metrics
 	wake     chan struct{}
 	fence    uint64
 	services map[string]*service
@@ -75,7 +82,7 @@
 
 // NewPlanner returns a planner; Wake makes it plan at once.
 func NewPlanner(o Options) *Planner {
-	return &Planner{Options: o, wake: make(chan struct{}, 1)}
+	return &Planner{Options: o, metrics: newMetrics(o.Metrics), wake: make(chan struct{}, 1)}
 }
 
 // Wake makes the planner plan at once, after a change of the endpoints.
@@ -147,6 +154,7 @@
 		state.demand = firstDemand(s.Scaling)
 	}
 	refusals := len(state.refused)
+	p.show(s.Name, state, now)
 	p.give(ctx, s, state, now)
 	if len(state.refused) > refusals {
 		// What was refused is made up for at once.
@@ -154,6 +162,18 @@
 	}
 }
 
+// show tells what the plans of a service go by.
+func (p *Planner) show(name string, state *service, now time.Time) {
+	present := sum(p.present(name))
+	p.metrics.demand.WithLabelValues(name).Set(state.demand)
+	p.metrics.present.WithLabelValues(name).Set(float64(present))
+	if now.Sub(state.shown) < showInterval {
+		return
+	}
+	state.shown = now
+	p.Log.Info("capacity demand", "service", name, "demand", state.demand, "present", present, "refused_places", len(state.refused), "fence", p.fence)
+}
+
 // give plans once and gives the orders that are due.
 func (p *Planner) give(ctx context.Context, s *routing.Service, state *service, now time.Time) {
 	present := p.present(s.Name)
--- a/pkg/scaling/scaling_test.go
+++ b/pkg/scaling/scaling_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"pgregory.net/rapid"
 
 	"github.com/medlarsill/medlarsill/pkg/cloud"
@@ -306,6 +307,19 @@
 	})
 }
 
+// Guards against a demand that nobody sees: it once fell while callers
+// were refused, and only the orders showed it.
+func TestTheDemandThatIsPlannedForIsShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		plan(&steadyLoad{engines: 9}, false, func(m *market) {
+			time.Sleep(8*time.Second + stepInterval/2)
+			g.Expect(testutil.ToFloat64(m.planner.metrics.demand.WithLabelValues("s1"))).To(BeNumerically("~", 9, 0.5))
+			g.Expect(testutil.ToFloat64(m.planner.metrics.present.WithLabelValues("s1"))).To(BeNumerically(">=", 9))
+		})
+	})
+}
+
 func TestNothingIsOrderedWhileTheDemandIsUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/pkg/scaling/service.go
+++ b/pkg/scaling/service.go
@@ -25,6 +25,8 @@
 type service struct {
 	demand float64
 	at     time.Time
+	// shown is when the demand was logged last.
+	shown time.Time
 	// unused is true until the first request ever.
 	unused bool
 	// since is when this process began to plan for the service.
