Read long prompts on endpoints of their own where they delay others beyond the allowed pause

The time of tokens written beside reading is learnt (its upper end). Where an event so disturbed takes four fifths of the allowed pause, requests with long prompts get as many endpoints as their share of the work, chosen by a hash, and the others the rest; both use any where their own are full or late.

--- /dev/null
+++ b/pkg/schedule/apart.go
@@ -0,0 +1,99 @@
+package schedule
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/rendezvous"
+	"github.com/medlarsill/medlarsill/pkg/speed"
+)
+
+const (
+	// pauseShare is the share of the allowed pause beyond which reading beside makes
+	// an event late.
+	pauseShare = 0.8
+	// longShare is the share of the allowed pause from which the reading of a prompt is long.
+	longShare = 0.5
+	// mixWeight is the weight of the newest request in the share of the work for long prompts.
+	mixWeight = 0.01
+	// longPrompts is the key by which all instances choose the same endpoints for them.
+	longPrompts = "long prompts"
+)
+
+// workMix follows the work that one request asks for on average, in seconds, and the
+// part of it that is for long prompts. It is safe for concurrent use.
+type workMix struct {
+	mu        sync.Mutex
+	long, all float64
+}
+
+func (s *Scheduler) mix(service string) *workMix {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.mixes[service]
+	if !ok {
+		m = &workMix{}
+		s.mixes[service] = m
+	}
+	return m
+}
+
+// take adds a request to the mix.
+func (m *workMix) take(work time.Duration, long bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.all += mixWeight * (work.Seconds() - m.all)
+	part := 0.0
+	if long {
+		part = work.Seconds()
+	}
+	m.long += mixWeight * (part - m.long)
+}
+
+// share is the part of the work that is for long prompts.
+func (m *workMix) share() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.all <= 0 {
+		return 0
+	}
+	return m.long / m.all
+}
+
+// long tells whether reading the prompt takes so long that it delays the events of
+// others noticeably.
+func (d Demand) long(known *speed.Estimate) bool {
+	common := min(d.Prompt, shared(d.Parts))
+	return d.Pause > 0 && known.Read(d.Prompt-common, common) > time.Duration(longShare*float64(d.Pause))
+}
+
+// disturbing tells whether reading a prompt delays the events of others at the same
+// endpoint beyond the pause that is allowed.
+func (d Demand) disturbing(known *speed.Estimate) bool {
+	event := time.Duration(d.EventTokens) * known.Disturbed()
+	return d.Pause > 0 && event >= time.Duration(pauseShare*float64(d.Pause))
+}
+
+// apart returns the endpoints on which a request is placed first: long prompts are
+// read on some, and the others are kept for the rest. It is nil where reading beside
+// doesn't delay events beyond the allowed pause.
+func (s *Scheduler) apart(list []*endpoints.Endpoint, d Demand, known *speed.Estimate) []*endpoints.Endpoint {
+	if len(list) < 2 || !d.disturbing(known) {
+		return nil
+	}
+	count := int(math.Round(s.mix(d.Service).share() * float64(len(list))))
+	count = min(max(count, 1), len(list)-1)
+	ranked := slices.Clone(list)
+	key := rendezvous.Key(longPrompts)
+	slices.SortFunc(ranked, func(a, b *endpoints.Endpoint) int {
+		return cmp.Compare(rendezvous.Weight(key, a.ID), rendezvous.Weight(key, b.ID))
+	})
+	if d.long(known) {
+		return ranked[:count]
+	}
+	return ranked[count:]
+}
--- a/pkg/schedule/placement.go
+++ b/pkg/schedule/placement.go
@@ -84,8 +84,14 @@
 	now := p.scheduler.Now()
 	load := p.Endpoint.Total()
 	calm := load.Prompt == 0
-	if tokens := events * p.demand.EventTokens; p.calm && calm && tokens > 0 {
-		p.learnt.Wrote(load.Running, now.Sub(p.newest)/time.Duration(tokens))
+	if tokens := events * p.demand.EventTokens; p.events > 0 && tokens > 0 {
+		perToken := now.Sub(p.newest) / time.Duration(tokens)
+		switch {
+		case p.calm && calm:
+			p.learnt.Wrote(load.Running, perToken)
+		case !p.calm && !calm:
+			p.learnt.Disturbed(perToken)
+		}
 	}
 	p.events += events
 	p.newest, p.calm = now, calm
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -68,6 +68,8 @@
 	Prompt, Output int
 	// OutputHint is the caller's guess of the output tokens; 0 if none.
 	OutputHint int
+	// Pause is the longest pause between two events that is still on time; 0 if any is.
+	Pause time.Duration
 	// EventTokens is the number of tokens in one event of the answer; 0 for plain calls.
 	EventTokens int
 	// Parts are the parts of the prompt in order.
@@ -100,11 +102,12 @@
 
 	mu     sync.Mutex
 	queues map[string]*queue
+	mixes  map[string]*workMix
 }
 
 // New returns a scheduler. places tells how many requests an endpoint may run at once.
 func New(list Endpoints, places func(*endpoints.Endpoint) int, now func() time.Time) *Scheduler {
-	return &Scheduler{Endpoints: list, Places: places, Now: now, Members: alone, Speeds: speed.New(now), random: rand.IntN, queues: make(map[string]*queue)}
+	return &Scheduler{Endpoints: list, Places: places, Now: now, Members: alone, Speeds: speed.New(now), random: rand.IntN, queues: make(map[string]*queue), mixes: make(map[string]*workMix)}
 }
 
 // alone is the number of instances where there are no others.
@@ -133,7 +136,7 @@
 	q := s.queue(d.Service)
 	now := s.Now()
 	if !d.Again {
-		s.Asked.add(d.Service, d.work(s.slots(d.Service), s.Speeds.Service(d.Service)))
+		s.ask(d)
 	}
 	q.mu.Lock()
 	if len(q.waiting) == 0 {
@@ -158,6 +161,14 @@
 	return s.wait(ctx, q, w, limit)
 }
 
+// ask counts the work of a request that arrives.
+func (s *Scheduler) ask(d Demand) {
+	learnt := s.Speeds.Service(d.Service)
+	work := d.work(s.slots(d.Service), learnt)
+	s.Asked.add(d.Service, work)
+	s.mix(d.Service).take(work, d.long(learnt.Estimate()))
+}
+
 // slots is the number of requests that an engine of a service runs at once; 0 if unknown.
 func (s *Scheduler) slots(service string) int {
 	list := s.Endpoints.Service(service)
@@ -205,11 +216,18 @@
 func (s *Scheduler) try(d Demand, now time.Time) (*Placement, error) {
 	list := s.Endpoints.Service(d.Service)
 	known := s.Speeds.Service(d.Service)
-	c, ok := choose(list, d, s.Places, now, s.sampling(list), known.Estimate())
+	estimate := known.Estimate()
+	if own := s.apart(list, d, estimate); own != nil {
+		c, ok := choose(own, d, s.Places, now, s.sampling(own), estimate)
+		if ok && d.admits(c, estimate, now) {
+			return s.begin(d, c, known, now), nil
+		}
+	}
+	c, ok := choose(list, d, s.Places, now, s.sampling(list), estimate)
 	if !ok {
 		return nil, nil
 	}
-	if estimate := known.Estimate(); !d.admits(c, estimate, now) {
+	if !d.admits(c, estimate, now) {
 		return nil, &BusyError{After: estimate.Wait(c.reading)}
 	}
 	return s.begin(d, c, known, now), nil
--- a/pkg/speed/estimate.go
+++ b/pkg/speed/estimate.go
@@ -17,6 +17,9 @@
 	reading, alone, writing, calls vector
 	// spread is the mean error of the expected starts, as a share of them.
 	spread float64
+	// disturbed is the time of a token while prompts are read beside, in milliseconds; 0
+	// if it isn't known.
+	disturbed float64
 	// Known is true once enough answers were seen to rely on the times of reading.
 	Known bool
 }
@@ -27,7 +30,7 @@
 	s.known = s.known || all.count >= knownSamples
 	s.estimate.Store(&Estimate{
 		reading: s.reading.terms, alone: s.alone.terms, writing: s.writing.terms, calls: s.calls.terms,
-		spread: min(maxSpread, s.reading.spread), Known: s.known,
+		spread: min(maxSpread, s.reading.spread), disturbed: s.disturbed.known(), Known: s.known,
 	})
 }
 
@@ -64,6 +67,10 @@
 	return duration(e.writing[0] + e.writing[termBusy]*float64(running))
 }
 
+// Disturbed is the time of a token, at its upper end, while prompts are read beside; 0
+// if it isn't known.
+func (e *Estimate) Disturbed() time.Duration { return duration(e.disturbed) }
+
 // Call is the time of a plain call beside a number of others.
 func (e *Estimate) Call(running int) time.Duration {
 	return duration(e.calls[0] + e.calls[termBusy]*float64(running))
@@ -76,6 +83,6 @@
 		slog.Float64("shared_ms", e.reading[termShared]), slog.Float64("ahead_ms", e.reading[termAhead]),
 		slog.Float64("alone_read_ms", e.alone[termOwn]), slog.Float64("alone_shared_ms", e.alone[termShared]),
 		slog.Float64("step_ms", e.writing[0]), slog.Float64("row_ms", e.writing[termBusy]),
-		slog.Float64("call_ms", e.calls[0]), slog.Float64("spread", e.spread), slog.Bool("known", e.Known),
+		slog.Float64("call_ms", e.calls[0]), slog.Float64("spread", e.spread), slog.Float64("disturbed_ms", e.disturbed), slog.Bool("known", e.Known),
 	)
 }
--- a/pkg/speed/speed.go
+++ b/pkg/speed/speed.go
@@ -67,6 +67,9 @@
 	alone   fit
 	writing fit
 	calls   fit
+	// disturbed is the time of a token that is written while prompts are read beside,
+	// at its upper end.
+	disturbed quantile
 	// outputs holds the mean number of output tokens by route.
 	outputs map[string]float64
 	// known is true once enough answers were seen to rely on the times of reading.
@@ -181,6 +184,17 @@
 	}
 }
 
+// Disturbed takes the time that each token of a stream took while prompts were read
+// beside.
+func (s *Service) Disturbed(perToken time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.disturbed.take(millis(perToken))
+	if s.disturbed.seen%disturbedPublished == 0 {
+		s.publish()
+	}
+}
+
 // Called takes the time of a plain call while a number of others ran at its endpoint.
 func (s *Service) Called(running int, took time.Duration) {
 	s.mu.Lock()
