Share watches only where most of the fleet is heard

After a start of all instances nobody has heard anybody: each was the first of those that it heard, took itself for a relay and told all 99 others of every change. An instance that hears less than half of the fleet now watches the store for itself alone, and all that are heard count for the rank, ready or not. The test failed before (batches were told).

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -35,7 +35,8 @@
 	calls := platform.NewStore(p.cfg.ObjectAPI, client, func() time.Duration { return p.watches.Hold() })
 	return sharedwatch.New(sharedwatch.Options{
 		Store: counted.New(calls, p.metrics), Metrics: p.metrics, Log: p.log, Now: time.Now,
-		Rank:    func() int { return p.node.Rank() },
+		Rank:    func() int { return p.node.HeardRank() },
+		Heard:   func() int { return p.node.PeersHeard() },
 		Members: func() int { return p.node.Members() },
 		Tell:    func(data []byte) { p.node.Tell(data) },
 	})
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -108,14 +108,20 @@
 
 // Rank is this instance's place among the ready ones that are heard, by a hash of
 // their ids; 0 is the first. An instance that hears nobody is the first.
-func (n *Node) Rank() int {
+func (n *Node) Rank() int { return n.rank(func(p *peer) bool { return p.ready }) }
+
+// HeardRank is this instance's place among all that are heard, ready or not.
+func (n *Node) HeardRank() int { return n.rank(func(*peer) bool { return true }) }
+
+// rank is this instance's place among those peers that are heard and counted.
+func (n *Node) rank(counts func(p *peer) bool) int {
 	silence := n.Silence()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	own := rendezvous.Key(n.ID)
 	rank := 0
 	for id, p := range n.peers {
-		if p.ready && n.Now().Sub(p.heard) <= silence && rendezvous.Key(id) < own {
+		if counts(p) && n.Now().Sub(p.heard) <= silence && rendezvous.Key(id) < own {
 			rank++
 		}
 	}
--- a/pkg/sharedwatch/fleet_test.go
+++ b/pkg/sharedwatch/fleet_test.go
@@ -28,8 +28,11 @@
 	// loses tells whether a datagram is lost.
 	loses func() bool
 	calls atomic.Int64
-	stop  context.CancelFunc
-	wg    sync.WaitGroup
+	// unheard is true while no instance hears its peers; told counts the batches.
+	unheard atomic.Bool
+	told    atomic.Int64
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
 }
 
 // instance is one member of a fleet with what it knows of the objects.
@@ -92,14 +95,31 @@
 func (f *fleet) newInstance(rank int) *instance {
 	i := &instance{fleet: f, rank: rank, objects: make(map[string]string)}
 	i.store = New(Options{
-		Store: heldStore{Store: f.store, instance: i}, Rank: func() int { return rank }, Members: func() int { return len(f.instances) },
+		Store: heldStore{Store: f.store, instance: i}, Rank: i.place, Heard: i.heard, Members: func() int { return len(f.instances) },
 		Tell: i.tell, Metrics: prometheus.NewRegistry(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now,
 	})
 	return i
 }
 
+// place is the instance's rank: the first of those that it hears.
+func (i *instance) place() int {
+	if i.heard() == 0 {
+		return 0
+	}
+	return i.rank
+}
+
+// heard is the number of peers that the instance hears.
+func (i *instance) heard() int {
+	if i.deaf.Load() || i.fleet.unheard.Load() {
+		return 0
+	}
+	return len(i.fleet.instances) - 1
+}
+
 // tell delivers a batch to all peers that hear it.
 func (i *instance) tell(data []byte) {
+	i.fleet.told.Add(1)
 	for _, peer := range i.fleet.instances {
 		if peer == i || peer.deaf.Load() || i.deaf.Load() || i.fleet.loses() {
 			continue
--- a/pkg/sharedwatch/sharedwatch_test.go
+++ b/pkg/sharedwatch/sharedwatch_test.go
@@ -107,6 +107,25 @@
 	})
 }
 
+// Guards against a storm of datagrams after a start of all instances: while nobody was
+// heard each was the first of those that it heard, a relay, and told all others.
+func TestNothingIsToldBeforeThePeersAreHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(100, allHeard)
+		defer f.end()
+		f.unheard.Store(true)
+		time.Sleep(settled)
+		before := f.told.Load()
+		for n := range 10 {
+			f.put("x", fmt.Sprint(n))
+			time.Sleep(500 * time.Millisecond)
+		}
+		g.Expect(f.told.Load()).To(Equal(before))
+		g.Expect(f.knowing("x", "9")).To(Equal(100))
+	})
+}
+
 func TestAChangeThatIsTooLargeForADatagramIsReadFromTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/pkg/sharedwatch/store.go
+++ b/pkg/sharedwatch/store.go
@@ -36,9 +36,10 @@
 type Options struct {
 	// Store is the object store itself.
 	Store objectstore.Store
-	// Rank is this instance's place among the ready ones, from 0, and Members the
-	// number of instances.
+	// Rank is this instance's place among those that are heard, from 0, Heard the number
+	// of peers that are heard, and Members that of all instances.
 	Rank    func() int
+	Heard   func() int
 	Members func() int
 	// Tell sends an encoded batch to all peers. It doesn't block.
 	Tell    func(data []byte)
@@ -65,8 +66,13 @@
 	return &Store{Store: o.Store, options: o, metrics: newMetrics(o.Metrics), feeds: make(map[string]*feed)}
 }
 
-// shared tells whether watches are shared in a fleet of this size.
-func (s *Store) shared() bool { return s.options.Members() >= minMembers }
+// shared tells whether watches are shared: in a large fleet, at an instance that hears
+// most of it. While few are heard, as after a start of all, each would take itself for a
+// relay and tell all others.
+func (s *Store) shared() bool {
+	members := s.options.Members()
+	return members >= minMembers && 2*s.options.Heard() >= members
+}
 
 // relay tells whether this instance watches for others.
 func (s *Store) relay() bool { return s.shared() && s.options.Rank() < relays }
