--- a/pkg/gossip/registry.go
+++ b/pkg/gossip/registry.go
@@ -20,9 +20,6 @@
 	Prefix = "gateways/"
 	// listInterval is the time between two reads of the registrations.
 	listInterval = 8 * time.Second
-	// newInterval is the time from this instance's registration to its next read: others
-	// that have started at the same moment weren't registered at the first.
-	newInterval = time.Second
 	// retryInterval is the time before a failed read is repeated.
 	retryInterval = 500 * time.Millisecond
 	// RemoveAfter is how long a registered instance may stay unheard before the
@@ -49,25 +46,20 @@
 func (r *Registry) Run(ctx context.Context) error {
 	r.missing = make(map[string]time.Time)
 	for ctx.Err() == nil {
-		registered, err := r.step(ctx)
 		pause := listInterval
-		switch {
-		case err != nil:
+		if err := r.step(ctx); err != nil {
 			r.Log.Warn("members not read", "error", err.Error())
 			pause = retryInterval
-		case registered:
-			pause = newInterval
 		}
 		sleep.For(ctx, pause)
 	}
 	return nil
 }
 
-// step reads the registrations and tells whether this instance had to register.
-func (r *Registry) step(ctx context.Context) (registered bool, err error) {
+func (r *Registry) step(ctx context.Context) error {
 	objects, err := r.Store.List(ctx, Prefix)
 	if err != nil {
-		return false, err
+		return err
 	}
 	list := make(map[string]Member, len(objects))
 	versions := make(map[string]uint64, len(objects))
@@ -80,13 +72,12 @@
 		}
 		list[id], versions[id] = m, o.Version
 	}
-	registered = list[r.Node.ID] != r.self()
-	if registered {
+	if list[r.Node.ID] != r.self() {
 		r.register(ctx, versions[r.Node.ID])
 	}
 	r.Node.SetMembers(list)
 	r.removeGone(ctx, list, versions)
-	return registered, nil
+	return nil
 }
 
 // self is this instance's registration.
