--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -135,6 +136,37 @@
 	g.Expect(alone.Rank()).To(BeZero(), "who hears nobody is the first")
 }
 
+// read has a registry read the registrations once.
+func read(ctx context.Context, r *Registry) error {
+	_, err := r.step(ctx)
+	return err
+}
+
+// Guards against a start of all instances in which each takes itself for the only one
+// for eight seconds: all of them ask for the duties, and all watch the store.
+func TestInstancesThatStartTogetherKnowEachOtherSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := memstore.New()
+		ctx, cancel := context.WithCancel(context.Background())
+		var nodes []*Node
+		for i := range 5 {
+			n := NewNode(Options{ID: fmt.Sprint("n", i), Boot: 1, Listen: address(i + 1), Fill: func(*Message) {}, Heard: func(Message) {}, Log: discard, Now: time.Now})
+			nodes = append(nodes, n)
+			r := &Registry{Store: store, Node: n, Log: discard, Now: time.Now, Remover: func() bool { return false }}
+			go func() { _ = r.Run(ctx) }()
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		for _, n := range nodes {
+			g.Expect(n.Members()).To(Equal(5), n.ID)
+		}
+		g.Expect(store.Calls()[memstore.OpList]).To(Equal(10))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestRegistryRegistersAndRemovesWhatIsGone(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
@@ -147,18 +179,18 @@
 	n := newNode("a", &now)
 	remover := false
 	r := &Registry{Store: store, Node: n, Log: discard, Now: func() time.Time { return now }, Remover: func() bool { return remover }, missing: make(map[string]time.Time)}
-	g.Expect(r.step(ctx)).To(Succeed())
+	g.Expect(read(ctx, r)).To(Succeed())
 	g.Expect(n.Members()).To(Equal(2))
 	o, err := store.Get(ctx, Prefix+"a")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(o.Value).To(MatchJSON(`{"addr":"10.0.0.1:7600","boot":1}`))
 
 	now = now.Add(RemoveAfter)
-	g.Expect(r.step(ctx)).To(Succeed())
+	g.Expect(read(ctx, r)).To(Succeed())
 	_, err = store.Get(ctx, Prefix+"gone")
 	g.Expect(err).NotTo(HaveOccurred(), "only the holder of the duties removes")
 	remover = true
-	g.Expect(r.step(ctx)).To(Succeed())
+	g.Expect(read(ctx, r)).To(Succeed())
 	_, err = store.Get(ctx, Prefix+"gone")
 	g.Expect(err).To(HaveOccurred())
 }
@@ -293,10 +325,10 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	n := newNode("a", &now)
 	r := &Registry{Store: store, Node: n, Log: discard, Now: func() time.Time { return now }, Remover: func() bool { return true }, missing: make(map[string]time.Time)}
-	g.Expect(r.step(ctx)).To(Succeed())
+	g.Expect(read(ctx, r)).To(Succeed())
 	g.Expect(n.Members()).To(Equal(2))
 	n.take(Message{ID: "b", Boot: 1, Seq: 1, Leaving: true}, address(2))
-	g.Expect(r.step(ctx)).To(Succeed())
+	g.Expect(read(ctx, r)).To(Succeed())
 	_, err = store.Get(ctx, Prefix+"b")
 	g.Expect(err).To(MatchError(objectstore.ErrNotFound))
 	g.Expect(r.Leave(ctx)).To(Succeed())
--- a/pkg/gossip/registry.go
+++ b/pkg/gossip/registry.go
@@ -20,6 +20,9 @@
 	Prefix = "gateways/"
 	// listInterval is the time between two reads of the registrations.
 	listInterval = 8 * time.Second
+	// newInterval is the time from this instance's registration to its next read: others
+	// that have started at the same moment weren't registered at the first.
+	newInterval = time.Second
 	// retryInterval is the time before a failed read is repeated.
 	retryInterval = 500 * time.Millisecond
 	// RemoveAfter is how long a registered instance may stay unheard before the
@@ -46,20 +49,25 @@
 func (r *Registry) Run(ctx context.Context) error {
 	r.missing = make(map[string]time.Time)
 	for ctx.Err() == nil {
+		registered, err := r.step(ctx)
 		pause := listInterval
-		if err := r.step(ctx); err != nil {
+		switch {
+		case err != nil:
 			r.Log.Warn("members not read", "error", err.Error())
 			pause = retryInterval
+		case registered:
+			pause = newInterval
 		}
 		sleep.For(ctx, pause)
 	}
 	return nil
 }
 
-func (r *Registry) step(ctx context.Context) error {
+// step reads the registrations and tells whether this instance had to register.
+func (r *Registry) step(ctx context.Context) (registered bool, err error) {
 	objects, err := r.Store.List(ctx, Prefix)
 	if err != nil {
-		return err
+		return false, err
 	}
 	list := make(map[string]Member, len(objects))
 	versions := make(map[string]uint64, len(objects))
@@ -72,12 +80,13 @@
 		}
 		list[id], versions[id] = m, o.Version
 	}
-	if list[r.Node.ID] != r.self() {
+	registered = list[r.Node.ID] != r.self()
+	if registered {
 		r.register(ctx, versions[r.Node.ID])
 	}
 	r.Node.SetMembers(list)
 	r.removeGone(ctx, list, versions)
-	return nil
+	return registered, nil
 }
 
 // self is this instance's registration.
