Believe changes only of peers that were heard at their address

Shared watches let a datagram name endpoints and configurations to use, which the messages before didn't. Changes of a sender that isn't the newest start of a peer, heard at the address that it sends from, are logged and ignored; the follower then watches the store. The test failed before: all four were taken.

--- a/pkg/gossip/changes.go
+++ b/pkg/gossip/changes.go
@@ -1,6 +1,9 @@
 package gossip
 
-import "net"
+import (
+	"net"
+	"net/netip"
+)
 
 // Tell sends what a watch of the object store has shown to all peers at once. It
 // doesn't block: what can't be sent is as good as a lost datagram, and logged.
@@ -23,3 +26,21 @@
 		write(conn, data, addr)
 	}
 }
+
+// takeChanges passes on the changes that a peer tells. Others than the start of a peer
+// that was heard at that address aren't believed: changes name endpoints to use.
+func (n *Node) takeChanges(m Message, from netip.AddrPort) {
+	if !n.knows(m, from) {
+		n.Log.Warn("changes ignored", "sender", m.ID, "from", from.String(), "reason", "not a peer that was heard there")
+		return
+	}
+	n.Changes(m.Changes)
+}
+
+// knows tells whether a message comes from a peer's newest start at its address.
+func (n *Node) knows(m Message, from netip.AddrPort) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p, ok := n.peers[m.ID]
+	return ok && p.boot == m.Boot && p.addr == from
+}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -277,6 +277,21 @@
 
 // TestNewcomersGetAMessageAtOnce: an instance that starts hears its peers before
 // their next turns.
+// Guards against endpoints that are taken from anybody who reaches the port.
+func TestChangesOfStrangersAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	n := newNode("a", &now)
+	var heard []string
+	n.Changes = func(data []byte) { heard = append(heard, string(data)) }
+	n.takeChanges(Message{ID: "b", Boot: 5, Changes: []byte("unheard")}, address(2))
+	n.take(Message{ID: "b", Boot: 5, Seq: 1}, address(2))
+	n.takeChanges(Message{ID: "b", Boot: 5, Changes: []byte("elsewhere")}, address(3))
+	n.takeChanges(Message{ID: "b", Boot: 4, Changes: []byte("earlier start")}, address(2))
+	n.takeChanges(Message{ID: "b", Boot: 5, Changes: []byte("peer")}, address(2))
+	g.Expect(heard).To(Equal([]string{"peer"}))
+}
+
 func TestNewcomersGetAMessageAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(100, 0)
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -114,7 +114,7 @@
 		switch {
 		case m.ID == n.ID:
 		case m.Changes != nil:
-			n.Changes(m.Changes)
+			n.takeChanges(m, from)
 		case n.take(m, from):
 			n.Heard(m)
 		}
