--- a/pkg/scaling/run.go
+++ b/pkg/scaling/run.go
@@ -48,7 +48,7 @@
 	Current() *routing.Table
 }
 
-// Options holds what a planner is made of. All fields but FirstStart are needed.
+// Options holds what a planner is made of. All fields but Metrics and FirstStart are needed.
 type Options struct {
 	Config    Config
 	Endpoints *endpoints.Table
