--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -32,6 +32,8 @@
 	Now func() time.Time
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
+	// Dial opens a connection; nil means over TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -81,16 +83,24 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
-	d := net.Dialer{Timeout: p.DialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2,
-	}}
-	c, err := d.DialContext(ctx, "tcp", addr)
+	open := p.Dial
+	if open == nil {
+		open = p.dialTCP
+	}
+	c, err := open(ctx, addr)
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
 	return newConn(c), nil
 }
 
+func (p *Pool) dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: p.DialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2,
+	}}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // setUserTimeout makes the kernel close a connection whose peer does not
 // acknowledge sent bytes within userTimeout.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
