Gossip: instances that start together send to different peers

With more peers than one message reaches, each instance sends to them in the order of their addresses and began with the first. Instances that start together therefore sent to the same peers at the same time: each peer heard all others within one interval and then none for a round (0.8 s with 83 instances, 7.4 s with 880).

The first target now follows from a hash of the id. Test: 12 instances with 20 targets each of 80 peers reach more than 60 of them; 20 before.

--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -116,6 +116,26 @@
 	}
 }
 
+// Guards against instances that start together and always send to the same few peers at
+// the same time, so that news reaches the others late.
+func TestTargets_DifferBetweenInstancesThatStartTogether(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	list := map[string]netip.AddrPort{}
+	for i := range 80 {
+		list[fmt.Sprint("p", i)] = address(10 + i)
+	}
+	reached := map[netip.AddrPort]bool{}
+	for i := range 12 {
+		n := newNode(fmt.Sprint("a", i), &now)
+		n.SetMembers(registered(list))
+		for _, target := range n.targets() {
+			reached[target] = true
+		}
+	}
+	g.Expect(len(reached)).To(BeNumerically(">", 60), "of 80 peers, by 12 instances with 20 targets each")
+}
+
 func TestRank_DiffersBetweenInstances(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(100, 0)
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/medlarsill/medlarsill/pkg/rendezvous"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
 )
 
@@ -25,6 +26,8 @@
 	// maxNewPeers is the largest number of queued new peers; others get their first
 	// message in the normal rotation.
 	maxNewPeers = 64
+	// maxFirstTarget bounds the position of an instance's first target, which grows from there.
+	maxFirstTarget = 1 << 20
 	// maxChanges is the largest number of queued broadcasts of changes.
 	maxChanges = 64
 )
@@ -51,7 +54,9 @@
 	mu    sync.Mutex
 	peers map[string]*peer
 	// members is the number of registered instances, including this one.
-	members    int
+	members int
+	// nextTarget is the position of the next message's first target among the peers. It
+	// starts at a hash of the id, so that instances that start together send to different peers.
 	nextTarget int
 	seq        uint64
 	// newPeers queues the addresses of peers that have just started or become known,
@@ -87,7 +92,8 @@
 // NewNode returns a node without peers.
 func NewNode(o Options) *Node {
 	return &Node{
-		Options: o, peers: make(map[string]*peer), members: 1, newPeers: make(chan netip.AddrPort, maxNewPeers),
+		Options: o, peers: make(map[string]*peer), members: 1, nextTarget: int(rendezvous.Key(o.ID) % maxFirstTarget),
+		newPeers: make(chan netip.AddrPort, maxNewPeers),
 		changes: make(chan []byte, maxChanges), leftBoots: make(map[string]uint64), leaveRequests: make(chan chan struct{}),
 	}
 }
