Keep the rate limits that endpoints announce, over all instances together

Change: pkg/ratelimit keeps the limits by process of an endpoint and divides each among as many members as it has requests in half a second, chosen by rendezvous hashing, with a token bucket each; the scheduler takes a token for each placement and leaves out endpoints that have none; a request that finds all its endpoints used up is refused at once with the time after which to come back. Limits and lifts are told to the peers.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -10,8 +10,10 @@
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/gossip"
 	"github.com/medlarsill/medlarsill/pkg/objectstore/counted"
+	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
 	"github.com/medlarsill/medlarsill/pkg/sharedwatch"
+	"github.com/medlarsill/medlarsill/pkg/sleep"
 	"github.com/medlarsill/medlarsill/pkg/truetime"
 	"github.com/medlarsill/medlarsill/pkg/usage"
 	"github.com/medlarsill/medlarsill/platform"
@@ -62,6 +64,19 @@
 	}}
 }
 
+// membership returns the instances that share the endpoints' rate limits.
+func (p *process) membership() ratelimit.Membership {
+	return ratelimit.Membership{Self: p.cfg.ID, IDs: p.node.MemberIDs(), Settled: p.registry.Settled()}
+}
+
+// tickRateLimits keeps this instance's shares of the rate limits up to date.
+func (p *process) tickRateLimits(ctx context.Context) error {
+	for sleep.For(ctx, ratelimit.TickInterval) {
+		p.rateLimits.Tick()
+	}
+	return nil
+}
+
 // runPeers credits the idle time to the allowances and then exchanges messages with
 // the peers.
 func (p *process) runPeers(ctx context.Context) error {
@@ -131,6 +146,7 @@
 		m.Speeds = p.scheduler.Speeds.OwnSummaries()
 	}
 	m.Usage = p.usage.Own()
+	m.RateLimits = p.rateLimits.Reports()
 	m.Fence = p.dutyLease.HighestFence()
 }
 
@@ -141,6 +157,7 @@
 	p.allowances.ReceiveTotals(m.ID, m.Boot, m.Totals)
 	p.meter.Record(from, m.Demand)
 	p.usage.Merge(from, m.Usage)
+	p.rateLimits.Receive(m.RateLimits)
 	p.dutyLease.ObserveFence(m.Fence)
 	p.scheduler.Speeds.Merge(from, m.Speeds)
 	loads := make(map[string]endpoints.Load, len(m.Load))
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -106,7 +106,8 @@
 	p.setUpPeers()
 	p.scheduler.Members = p.node.Members
 	p.allowances = allowance.New(allowance.Options{Overshoot: allowanceShare * cfg.AllowanceOver, Credit: creditShare * cfg.AllowanceSlack, Now: time.Now, PeerTimeout: p.node.PeerTimeout, Members: p.node.Members})
-	p.rateLimits = ratelimit.New(ratelimit.Options{Metrics: ratelimit.NewMetrics(p.metrics), Log: log, Now: time.Now})
+	p.rateLimits = ratelimit.New(ratelimit.Options{Members: p.membership, Metrics: ratelimit.NewMetrics(p.metrics), Log: log, Now: time.Now})
+	p.scheduler.Limits = p.rateLimits
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.allowances,
 		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, RateLimits: p.rateLimits,
@@ -182,6 +183,7 @@
 		p.ingress.Sweep,
 		p.sweepPool,
 		p.logSpeeds,
+		p.tickRateLimits,
 		p.runPeers,
 		p.loadSpeeds,
 		p.registry.Run,
--- a/pkg/endpoints/endpoint.go
+++ b/pkg/endpoints/endpoint.go
@@ -32,6 +32,13 @@
 	Warmup time.Duration
 }
 
+// Key identifies one process of an endpoint. A restarted endpoint has another key.
+type Key struct {
+	ID string
+	// Born is the start of the process in Unix milliseconds; 0 if unknown.
+	Born int64
+}
+
 // sameProcess reports whether two registrations are of the same process of an endpoint.
 func (i Info) sameProcess(o Info) bool {
 	return i.ID == o.ID && i.Born == o.Born && i.Addr == o.Addr && i.Service == o.Service
@@ -73,8 +80,8 @@
 	return e
 }
 
-// Born returns the start of the endpoint's process in Unix milliseconds; 0 if unknown.
-func (e *Endpoint) Born() int64 { return e.born }
+// Key returns the key of the endpoint's process.
+func (e *Endpoint) Key() Key { return Key{ID: e.ID, Born: e.born} }
 
 // update replaces the registration. A leaving endpoint stays leaving.
 func (e *Endpoint) update(i Info) {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 	"github.com/medlarsill/medlarsill/pkg/schedule"
 	"github.com/medlarsill/medlarsill/pkg/upstream"
@@ -75,7 +74,7 @@
 	if a.attempts == 0 {
 		g.Retries.RecordFirstSend(a.service)
 	}
-	g.RateLimits.Sent(a.rateLimitKey(), a.attempts > 0)
+	g.RateLimits.Sent(a.placement.Endpoint.Key(), a.attempts > 0)
 	a.attempts++
 	a.possibleRuns++
 	a.sent = g.Now()
@@ -86,7 +85,7 @@
 	}
 	meta := g.Protocol.Response(resp)
 	if !meta.WrongTarget {
-		g.RateLimits.Observe(a.rateLimitKey(), meta.RateLimit)
+		g.RateLimits.Observe(a.placement.Endpoint.Key(), a.sent, meta.RateLimit)
 	}
 	if meta.NotRun {
 		return a.handleRefusal(resp, meta)
@@ -99,12 +98,6 @@
 	return a.relay(ctx, resp)
 }
 
-// rateLimitKey returns the key of the endpoint's rate limit.
-func (a *attempt) rateLimitKey() ratelimit.Key {
-	e := a.placement.Endpoint
-	return ratelimit.Key{Endpoint: e.ID, Born: e.Born()}
-}
-
 // belongsToRequest reports whether a response belongs to the request. Error
 // responses may lack the id.
 func (a *attempt) belongsToRequest(resp *http.Response) bool {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -54,9 +54,10 @@
 // RateLimits keeps the rate limits that endpoints announce.
 type RateLimits interface {
 	// Sent records that a request was sent to an endpoint, repeated if not for the first time.
-	Sent(k ratelimit.Key, repeated bool)
-	// Observe records what an answer of an endpoint says of its limit.
-	Observe(k ratelimit.Key, a ratelimit.Announcement)
+	Sent(k endpoints.Key, repeated bool)
+	// Observe records what an endpoint's answer says of its limit, to a request that was
+	// sent at the given time.
+	Observe(k endpoints.Key, sentAt time.Time, a ratelimit.Announcement)
 }
 
 // Options holds the dependencies of a Gateway. All fields are required.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -98,13 +98,17 @@
 
 // failPlacement finishes a call that could not be placed on an endpoint.
 func (c *call) failPlacement(ctx context.Context, err error, last outcome) {
-	if errors.Is(err, schedule.ErrBusy) && last.reason == "" {
-		last.reason = "no place in time"
-	}
 	var busy *schedule.BusyError
 	if errors.As(err, &busy) {
 		c.expectedWait = busy.RetryAfter
 	}
+	switch {
+	case last.reason != "":
+	case busy != nil && busy.Limited:
+		last.reason = "endpoints' limits used up"
+	case errors.Is(err, schedule.ErrBusy):
+		last.reason = "no place in time"
+	}
 	c.finish(ctx, last)
 }
 
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -187,6 +187,41 @@
 	})
 }
 
+// Guards against an instance that uses shared limits before all others count it as a
+// member, or after they may have removed it, so that its part is used twice.
+func TestRegistry_SettledOnlyWhileOthersKnowInstance(t *testing.T) {
+	for name, c := range map[string]struct {
+		registeredBefore bool
+		settlesAfter     time.Duration
+	}{"new instance": {false, settleTime}, "restarted instance": {true, 0}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Unix(1000, 0)
+			ctx := context.Background()
+			store := memstore.New()
+			n := newNode("a", &now)
+			r := &Registry{Store: store, Node: n, Log: discard, Now: func() time.Time { return now }, MayRemove: func() bool { return false }, unseenSince: make(map[string]time.Time)}
+			g.Expect(r.Settled()).To(BeFalse(), "nothing was read yet")
+			if c.registeredBefore {
+				_, err := store.Create(ctx, Prefix+"a", []byte(`{"addr":"10.0.0.1:7600","boot":7}`))
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			g.Expect(syncOnce(ctx, r)).To(Succeed())
+			g.Expect(r.Settled()).To(BeFalse(), "its registration wasn't read yet")
+			now = now.Add(time.Second)
+			g.Expect(syncOnce(ctx, r)).To(Succeed())
+			g.Expect(r.Settled()).To(Equal(c.settlesAfter == 0))
+			now = now.Add(c.settlesAfter)
+			g.Expect(r.Settled()).To(BeTrue())
+
+			now = now.Add(removalMargin + time.Second)
+			g.Expect(r.Settled()).To(BeFalse(), "neither the store nor a peer was heard for long")
+			n.accept(Message{ID: "b", Boot: 1, Seq: 1}, address(2))
+			g.Expect(r.Settled()).To(BeTrue(), "the only peer is heard")
+		})
+	}
+}
+
 func TestRegistry_RegistersAndRemovesStaleMembers(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
--- a/pkg/gossip/members.go
+++ b/pkg/gossip/members.go
@@ -13,6 +13,18 @@
 	return max(n.members, len(n.peers)+1)
 }
 
+// MemberIDs returns the ids of all instances, including this one.
+func (n *Node) MemberIDs() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ids := make([]string, 0, len(n.peers)+1)
+	ids = append(ids, n.ID)
+	for id := range n.peers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // PeerTimeout returns the time without a message after which a peer is unreachable.
 func (n *Node) PeerTimeout() time.Duration {
 	n.mu.Lock()
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/speed"
 )
 
@@ -56,6 +57,8 @@
 	// Changes holds changes from the sender's watch of the object store. Apart from the
 	// sender, such a message has no other fields.
 	Changes []byte `cbor:"14,keyasint,omitempty"`
+	// RateLimits holds some of the endpoints' rate limits that the sender knows of.
+	RateLimits []ratelimit.Report `cbor:"15,keyasint,omitempty"`
 	// Usage holds the number of requests that began to run, by usage window and workspace.
 	Usage map[int64]map[string]int `cbor:"8,keyasint,omitempty"`
 }
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -94,7 +94,7 @@
 	return &Node{
 		Options: o, peers: make(map[string]*peer), members: 1, nextTarget: int(rendezvous.Key(o.ID) % maxFirstTarget),
 		newPeers: make(chan netip.AddrPort, maxNewPeers),
-		changes: make(chan []byte, maxChanges), leftBoots: make(map[string]uint64), leaveRequests: make(chan chan struct{}),
+		changes:  make(chan []byte, maxChanges), leftBoots: make(map[string]uint64), leaveRequests: make(chan chan struct{}),
 	}
 }
 
--- a/pkg/gossip/registry.go
+++ b/pkg/gossip/registry.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
@@ -23,8 +24,13 @@
 	// rereadInterval is the time from this instance's registration to its next read.
 	// Instances that started at the same time weren't registered at the first read.
 	rereadInterval = time.Second
+	// settleTime is the time from a new instance's registration until all others have read it.
+	settleTime = listInterval + 2*time.Second
 	// retryInterval is the time before a failed read is repeated.
 	retryInterval = 500 * time.Millisecond
+	// removalMargin is the time since this instance last read its own registration in which
+	// it can't have been removed as unreachable.
+	removalMargin = RemoveAfter - 10*time.Second
 	// RemoveAfter is how long a registered instance may be unreachable before the
 	// holder of the duties removes its registration.
 	RemoveAfter = 30 * time.Second
@@ -41,6 +47,9 @@
 	// MayRemove reports whether this instance may remove stale registrations.
 	MayRemove func() bool
 
+	// settledFrom is the time from which the others know this instance as a member; nil
+	// before its first read of the registrations. listedAt is when it last read its own.
+	settledFrom, listedAt atomic.Pointer[time.Time]
 	// unseenSince holds when a registered instance was first found unreachable.
 	unseenSince map[string]time.Time
 }
@@ -80,7 +89,12 @@
 		}
 		list[id], versions[id] = m, o.Version
 	}
+	r.recordSettled(list)
 	registered = list[r.Node.ID] != r.registration()
+	if !registered {
+		now := r.Now()
+		r.listedAt.Store(&now)
+	}
 	if registered {
 		r.register(ctx, versions[r.Node.ID])
 	}
@@ -89,6 +103,35 @@
 	return registered, nil
 }
 
+// recordSettled records at the first read when the others will know this instance: at
+// once if its id was registered before this start, or else when all have read the
+// registrations again.
+func (r *Registry) recordSettled(list map[string]Member) {
+	if r.settledFrom.Load() != nil {
+		return
+	}
+	from := r.Now()
+	if _, known := list[r.Node.ID]; !known {
+		from = from.Add(settleTime)
+	}
+	r.settledFrom.Store(&from)
+}
+
+// Settled reports whether the other instances know this one as a member: they had the
+// time to read its registration, and can't have removed it since.
+func (r *Registry) Settled() bool {
+	from := r.settledFrom.Load()
+	if from == nil || r.Now().Before(*from) {
+		return false
+	}
+	listed := r.listedAt.Load()
+	if listed != nil && r.Now().Sub(*listed) <= removalMargin {
+		return true
+	}
+	reachable := r.Node.ReachablePeers()
+	return reachable > 0 && 2*reachable >= r.Node.Members()-1
+}
+
 // registration returns this instance's registration.
 func (r *Registry) registration() Member { return Member{Addr: r.Node.Listen, Boot: r.Node.Boot} }
 
--- a/pkg/ratelimit/limits.go
+++ b/pkg/ratelimit/limits.go
@@ -1,13 +1,51 @@
+// Package ratelimit keeps the rate limits that endpoints announce in their answers, and
+// shares them among the instances. A limit is the number of requests a second that an
+// endpoint takes from all instances together, for as long as it announces it.
+//
+// The instances that may use an endpoint's limit are chosen by rendezvous hashing over
+// the members, so many that each may save up a request without exceeding the limit; each
+// has an equal part of the rate, in a token bucket of its own. No message is needed to
+// keep the limit: a member that is silent keeps its part until it is known to have left.
+// Only that a limit was announced or lifted is told to the peers.
 package ratelimit
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/rendezvous"
+)
+
+const (
+	// TickInterval is the time between two calls of Tick.
+	TickInterval = 200 * time.Millisecond
+	// maxTickAge is the time since the last tick after which this instance uses no limited
+	// endpoint: it did not run for a while, and its shares may be out of date.
+	maxTickAge = time.Second
+	// unknownRate is the rate of a limit until its first announcement is recorded.
+	unknownRate = -1
+	// maxLimits bounds the number of limits that are kept.
+	maxLimits = 20_000
+	// maxWait bounds the time after which a caller is asked to come back.
+	maxWait = 5 * time.Second
 )
 
+// Membership is the set of instances that share the limits.
+type Membership struct {
+	// Self is the id of this instance, and IDs holds those of all members, Self included.
+	Self string
+	IDs  []string
+	// Settled is true if all other members know this instance as one.
+	Settled bool
+}
+
 // Options configures Limits. All fields are required.
 type Options struct {
+	Members func() Membership
 	Metrics *Metrics
 	Log     *slog.Logger
 	Now     func() time.Time
@@ -16,51 +54,204 @@
 // Limits holds the rate limits in force, by endpoint. It is safe for concurrent use.
 type Limits struct {
 	Options
-	mu    sync.Mutex
-	byKey map[Key]*limit
+	// active holds the limits; the map is replaced at each change, so that it can be read
+	// without a lock.
+	active atomic.Pointer[map[endpoints.Key]*guardedLimit]
+
+	mu sync.Mutex
+	// lastTick is the time of the newest tick.
+	lastTick time.Time
+	// membersHash identifies the members for which the ranks were computed.
+	membersHash uint64
+	reporter    reporter
 }
 
-// limit is the limit of one endpoint.
-type limit struct {
-	perSecond float64
+// guardedLimit is a limit with its lock.
+type guardedLimit struct {
+	sync.Mutex
+	limit
 }
 
 // New returns Limits without a limit in force.
-func New(o Options) *Limits { return &Limits{Options: o, byKey: make(map[Key]*limit)} }
+func New(o Options) *Limits {
+	l := &Limits{Options: o, lastTick: o.Now()}
+	l.active.Store(&map[endpoints.Key]*guardedLimit{})
+	return l
+}
+
+// Active returns the number of limits in force.
+func (l *Limits) Active() int { return len(*l.active.Load()) }
 
 // Sent records that a request was sent to an endpoint; repeated means that the same
 // request was sent to another endpoint before.
-func (l *Limits) Sent(k Key, repeated bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if _, ok := l.byKey[k]; ok {
+func (l *Limits) Sent(k endpoints.Key, repeated bool) {
+	if _, ok := l.find(k); ok {
 		l.Metrics.recordSend(repeated)
 	}
 }
 
-// Observe records what an answer of an endpoint says of its limit.
-func (l *Limits) Observe(k Key, a Announcement) {
+func (l *Limits) find(k endpoints.Key) (*guardedLimit, bool) {
+	g, ok := (*l.active.Load())[k]
+	return g, ok
+}
+
+// Available reports whether a request may be sent to an endpoint now.
+func (l *Limits) Available(k endpoints.Key) bool {
+	return l.use(k, (*limit).available)
+}
+
+// Take takes a request from this instance's share of an endpoint's limit. It reports
+// whether the request may be sent.
+func (l *Limits) Take(k endpoints.Key) bool {
+	return l.use(k, (*limit).take)
+}
+
+// use calls a function of an endpoint's limit, if there is one.
+func (l *Limits) use(k endpoints.Key, try func(*limit, time.Time) bool) bool {
+	g, ok := l.find(k)
+	if !ok {
+		return true
+	}
+	now := l.Now()
+	if l.outOfDate(now) {
+		return false
+	}
+	g.Lock()
+	defer g.Unlock()
+	return try(&g.limit, now)
+}
+
+// outOfDate reports whether this instance did not run for a while.
+func (l *Limits) outOfDate(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	current, known := l.byKey[k]
+	return now.Sub(l.lastTick) > maxTickAge
+}
+
+// Wait returns the time until an endpoint is expected to take a request again.
+func (l *Limits) Wait(k endpoints.Key) time.Duration {
+	g, ok := l.find(k)
+	if !ok {
+		return 0
+	}
+	g.Lock()
+	defer g.Unlock()
+	return min(maxWait, g.wait(l.Now()))
+}
+
+// Observe records what an endpoint's answer says of its limit, to a request that was sent
+// at the given time. An answer lifts a limit only if its request was sent after the limit
+// was last announced, since answers may overtake each other.
+func (l *Limits) Observe(k endpoints.Key, sentAt time.Time, a Announcement) {
 	switch {
 	case a.Err != nil:
-		l.Log.Warn("ignoring invalid rate limit", "endpoint", k.Endpoint, "error", a.Err.Error())
-	case a.Limited && !known:
-		l.byKey[k] = &limit{perSecond: a.PerSecond}
-		l.Log.Info("endpoint rate limit announced", "endpoint", k.Endpoint, "per_second", a.PerSecond)
-	case a.Limited && current.perSecond != a.PerSecond:
-		current.perSecond = a.PerSecond
-		l.Log.Info("endpoint rate limit changed", "endpoint", k.Endpoint, "per_second", a.PerSecond)
-	case !a.Limited && known:
-		delete(l.byKey, k)
-		l.Log.Info("endpoint rate limit lifted", "endpoint", k.Endpoint, "per_second", current.perSecond)
+		l.Log.Warn("ignoring invalid rate limit", "endpoint", k.ID, "error", a.Err.Error())
+	case a.Limited:
+		l.announced(k, a.PerSecond, l.Now())
+	default:
+		if g, ok := l.find(k); ok {
+			l.lifted(g, k, sentAt)
+		}
 	}
 }
 
-// Active returns the number of limits in force.
-func (l *Limits) Active() int {
+// announced records that an endpoint announced a limit at the given time.
+func (l *Limits) announced(k endpoints.Key, perSecond float64, at time.Time) {
+	g, ok := l.findOrAdd(k, at)
+	if !ok {
+		return
+	}
+	g.Lock()
+	defer g.Unlock()
+	if g.announce(perSecond, at, l.Now()) {
+		l.Log.Info("endpoint rate limit announced", "endpoint", k.ID, "per_second", perSecond)
+	}
+}
+
+// findOrAdd returns the limit of an endpoint, which it adds if necessary. It returns false
+// if there are too many.
+func (l *Limits) findOrAdd(k endpoints.Key, at time.Time) (*guardedLimit, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if g, ok := l.find(k); ok {
+		return g, true
+	}
+	old := *l.active.Load()
+	if len(old) >= maxLimits {
+		l.Log.Warn("ignoring rate limit", "endpoint", k.ID, "reason", "too many limits")
+		return nil, false
+	}
+	g := &guardedLimit{limit: limit{perSecond: unknownRate, announcedAt: at, refilledAt: l.Now()}}
+	g.rank = rank(l.Members(), k)
+	next := maps.Clone(old)
+	next[k] = g
+	l.active.Store(&next)
+	return g, true
+}
+
+// lifted records that an endpoint no longer announced its limit at the given time.
+func (l *Limits) lifted(g *guardedLimit, k endpoints.Key, at time.Time) {
+	g.Lock()
+	defer g.Unlock()
+	if g.lift(at, l.Now()) {
+		l.Log.Info("endpoint rate limit lifted", "endpoint", k.ID, "per_second", g.perSecond)
+	}
+}
+
+// Tick updates the shares of this instance, and drops the limits that were lifted long
+// enough ago. It must be called every TickInterval.
+func (l *Limits) Tick() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.byKey)
+	now := l.Now()
+	pause := now.Sub(l.lastTick)
+	l.lastTick = now
+	all := *l.active.Load()
+	if len(all) == 0 {
+		return
+	}
+	m := l.Members()
+	hash := membersHash(m)
+	kept := make(map[endpoints.Key]*guardedLimit, len(all))
+	for k, g := range all {
+		g.Lock()
+		if pause > maxTickAge {
+			g.postpone(pause)
+		}
+		if hash != l.membersHash {
+			g.rank = rank(m, k)
+		}
+		if g.refresh(now) {
+			g.setShare(len(m.IDs), m.Settled, now)
+			kept[k] = g
+		}
+		g.Unlock()
+	}
+	l.membersHash = hash
+	if len(kept) < len(all) {
+		l.active.Store(&kept)
+	}
+}
+
+// rank returns this instance's position among the members in the order in which they are
+// chosen to share the limit of an endpoint.
+func rank(m Membership, k endpoints.Key) int {
+	key := rendezvous.Key(k.ID)
+	own := rendezvous.Weight(key, m.Self)
+	rank := 0
+	for _, id := range m.IDs {
+		if rendezvous.Weight(key, id) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// membersHash returns a hash of the members that doesn't depend on their order.
+func membersHash(m Membership) uint64 {
+	var sum uint64
+	for _, id := range m.IDs {
+		sum += rendezvous.HashWeight(0, rendezvous.Key(id))
+	}
+	return sum
 }
--- a/pkg/schedule/choose.go
+++ b/pkg/schedule/choose.go
@@ -42,31 +42,32 @@
 	random func(n int) int
 }
 
-// choose returns the cheapest candidate of a sample of the endpoints with a free slot.
-// Endpoints that are paused after transport failures are used only if all are paused.
-func choose(list []*endpoints.Endpoint, r Request, slots func(*endpoints.Endpoint) int, now time.Time, s sampling, est *speed.Estimate) (candidate, bool) {
-	free := withFreeSlots(list, r, slots, now)
+// choose returns the cheapest candidate of a sample of the endpoints with a free slot
+// whose limits aren't used up. Endpoints that are paused after transport failures are used
+// only if all are paused.
+func (s *Scheduler) choose(list []*endpoints.Endpoint, r Request, est *speed.Estimate, now time.Time) (candidate, bool) {
+	free := s.withFreeSlots(list, r, now)
 	affinity := affinityEndpoint(list, r)
 	var best candidate
-	for _, e := range s.sample(free, affinity) {
+	for _, e := range s.sampling(list).sample(free, affinity) {
 		best = cheaper(best, evaluate(e, r, e == affinity, est, now))
 	}
 	return best, best.endpoint != nil
 }
 
-// withFreeSlots returns the endpoints with a free slot that are not paused. If all
-// endpoints are paused, it returns the paused ones with a free slot.
-func withFreeSlots(list []*endpoints.Endpoint, r Request, slots func(*endpoints.Endpoint) int, now time.Time) []*endpoints.Endpoint {
+// withFreeSlots returns the endpoints with a free slot that take requests and are not
+// paused. If all that take requests are paused, it returns the paused ones with a free slot.
+func (s *Scheduler) withFreeSlots(list []*endpoints.Endpoint, r Request, now time.Time) []*endpoints.Endpoint {
 	free := make([]*endpoints.Endpoint, 0, len(list))
 	var pausedFree []*endpoints.Endpoint
 	anyUnpaused := false
 	for _, e := range list {
-		if r.Avoid[e.ID] {
+		if r.Avoid[e.ID] || !s.Limits.Available(e.Key()) {
 			continue
 		}
 		paused := e.Paused(now)
 		anyUnpaused = anyUnpaused || !paused
-		if n := slots(e); n > 0 && e.TotalLoad().Running >= n {
+		if n := s.Slots(e); n > 0 && e.TotalLoad().Running >= n {
 			continue
 		}
 		if paused {
--- /dev/null
+++ b/pkg/schedule/limits.go
@@ -0,0 +1,47 @@
+package schedule
+
+import (
+	"errors"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
+)
+
+// unlimited is the default of Scheduler.Limits: no endpoint announces a limit.
+type unlimited struct{}
+
+// Available implements Limits.
+func (unlimited) Available(endpoints.Key) bool { return true }
+
+// Take implements Limits.
+func (unlimited) Take(endpoints.Key) bool { return true }
+
+// Wait implements Limits.
+func (unlimited) Wait(endpoints.Key) time.Duration { return 0 }
+
+// limitsUsedUp returns an error if the limits of all endpoints on which a request may be
+// placed are used up, so that waiting for a free slot is in vain. It returns nil otherwise.
+func (s *Scheduler) limitsUsedUp(r Request) error {
+	wait, found := time.Duration(0), false
+	for _, e := range s.Endpoints.Service(r.Service) {
+		if r.Avoid[e.ID] {
+			continue
+		}
+		if s.Limits.Available(e.Key()) {
+			return nil
+		}
+		if w := s.Limits.Wait(e.Key()); !found || w < wait {
+			wait, found = w, true
+		}
+	}
+	if !found {
+		return nil
+	}
+	return &BusyError{RetryAfter: wait, Limited: true}
+}
+
+// isLimited reports whether an error says that the endpoints' limits are used up.
+func isLimited(err error) bool {
+	var busy *BusyError
+	return errors.As(err, &busy) && busy.Limited
+}
--- a/pkg/schedule/placement.go
+++ b/pkg/schedule/placement.go
@@ -36,8 +36,12 @@
 	undisturbed bool
 }
 
-// start takes a slot of the chosen endpoint.
+// start takes a slot of the chosen endpoint, and a request of its limit. It returns nil if
+// the limit was used up meanwhile.
 func (s *Scheduler) start(r Request, c candidate, speeds *speed.Service, now time.Time) *Placement {
+	if !s.Limits.Take(c.endpoint.Key()) {
+		return nil
+	}
 	prompt := c.prefill.Own + int(speeds.Estimate().CacheMissRate()*float64(c.prefill.Shared))
 	c.endpoint.Begin(prompt, now)
 	return &Placement{
--- a/pkg/schedule/queue.go
+++ b/pkg/schedule/queue.go
@@ -34,7 +34,13 @@
 type waiter struct {
 	request Request
 	late    bool
-	granted chan *Placement
+	result  chan placementResult
+}
+
+// placementResult is the result of a wait: a placement, or the error of a refusal.
+type placementResult struct {
+	placement *Placement
+	err       error
 }
 
 // before reports whether w is served before o: requests that could be on time when
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -28,8 +28,11 @@
 
 // BusyError is an ErrBusy with the time after which a retry makes sense.
 type BusyError struct {
-	// RetryAfter is the expected time until the best endpoint has prefilled its pending prompts.
+	// RetryAfter is the expected time until the best endpoint has prefilled its pending
+	// prompts or takes requests again.
 	RetryAfter time.Duration
+	// Limited is true if the endpoints' rate limits are used up.
+	Limited bool
 }
 
 // Error implements error.
@@ -86,6 +89,16 @@
 	Service(name string) []*endpoints.Endpoint
 }
 
+// Limits tells which endpoints take a request now, by the limits that they announce.
+type Limits interface {
+	// Available reports whether a request may be sent to an endpoint now.
+	Available(k endpoints.Key) bool
+	// Take records that a request is placed on an endpoint, or returns false if none may be.
+	Take(k endpoints.Key) bool
+	// Wait returns the time until an endpoint is expected to take a request.
+	Wait(k endpoints.Key) time.Duration
+}
+
 // Scheduler places requests. It is safe for concurrent use.
 type Scheduler struct {
 	Endpoints Endpoints
@@ -97,6 +110,8 @@
 	RequestedWork WorkCounter
 	// Speeds holds the learned speeds of the endpoints.
 	Speeds *speed.Model
+	// Limits holds the limits that the endpoints announce.
+	Limits Limits
 
 	// random returns a random number in [0, n).
 	random func(n int) int
@@ -109,7 +124,7 @@
 // New returns a scheduler. slots returns the number of requests that an endpoint may run
 // at once; 0 means no limit.
 func New(list Endpoints, slots func(*endpoints.Endpoint) int, now func() time.Time) *Scheduler {
-	return &Scheduler{Endpoints: list, Slots: slots, Now: now, Members: singleInstance, Speeds: speed.New(now), random: rand.IntN, queues: make(map[string]*queue), workMixes: make(map[string]*workMix)}
+	return &Scheduler{Endpoints: list, Slots: slots, Now: now, Members: singleInstance, Speeds: speed.New(now), Limits: unlimited{}, random: rand.IntN, queues: make(map[string]*queue), workMixes: make(map[string]*workMix)}
 }
 
 // singleInstance is the default of Scheduler.Members.
@@ -154,7 +169,11 @@
 		}
 	}
 	limit := r.maxWait(now)
-	w := &waiter{request: r, late: r.late(now), granted: make(chan *Placement, 1)}
+	w := &waiter{request: r, late: r.late(now), result: make(chan placementResult, 1)}
+	if busy := s.limitsUsedUp(r); busy != nil {
+		q.mu.Unlock()
+		return nil, busy
+	}
 	if limit <= 0 || q.expectedWait(w) > limit || s.avoidsAll(r) {
 		q.mu.Unlock()
 		return nil, ErrBusy
@@ -196,8 +215,8 @@
 	defer t.Stop()
 	err := ErrBusy
 	select {
-	case p := <-w.granted:
-		return p, nil
+	case result := <-w.result:
+		return result.placement, result.err
 	case <-ctx.Done():
 		err = ErrCancelled
 	case <-t.C:
@@ -206,11 +225,13 @@
 	q.remove(w)
 	q.mu.Unlock()
 	select {
-	case p := <-w.granted:
+	case result := <-w.result:
 		if err == ErrBusy {
-			return p, nil
+			return result.placement, result.err
+		}
+		if result.placement != nil {
+			result.placement.End()
 		}
-		p.End()
 	default:
 	}
 	return nil, err
@@ -224,14 +245,14 @@
 	speeds := s.Speeds.Service(r.Service)
 	estimate := speeds.Estimate()
 	if preferred := s.preferredEndpoints(list, r, estimate); preferred != nil {
-		c, ok := choose(preferred, r, s.Slots, now, s.sampling(preferred), estimate)
+		c, ok := s.choose(preferred, r, estimate, now)
 		if ok && r.acceptable(c, estimate, now) {
 			return s.start(r, c, speeds, now), nil
 		}
 	}
-	c, ok := choose(list, r, s.Slots, now, s.sampling(list), estimate)
+	c, ok := s.choose(list, r, estimate, now)
 	if !ok {
-		return nil, nil
+		return nil, s.limitsUsedUp(r)
 	}
 	if !r.acceptable(c, estimate, now) {
 		return nil, &BusyError{RetryAfter: estimate.QueueWait(c.prefill)}
@@ -266,17 +287,18 @@
 	}
 }
 
-// grantWaiting places waiting requests in order until one can't be placed. The caller
-// holds the queue's lock.
+// grantWaiting places waiting requests in order until one can't be placed. It refuses
+// those that wait in vain, as the limits of all endpoints are used up. The caller holds
+// the queue's lock.
 func (s *Scheduler) grantWaiting(q *queue, now time.Time) {
 	for len(q.waiting) > 0 {
 		w := q.waiting[0]
-		p, _ := s.tryPlace(w.request, now)
-		if p == nil {
+		p, err := s.tryPlace(w.request, now)
+		if p == nil && !isLimited(err) {
 			return
 		}
 		q.waiting = q.waiting[1:]
-		w.granted <- p
+		w.result <- placementResult{placement: p, err: err}
 	}
 }
 
