Drain an endpoint that says in its answers that it is leaving

Change: an answer with it marks the process as leaving, in the table of endpoints, for good: also where its registration stays as it is, changes, or is removed and added again, with or without a known start. The next process under its id is used.

--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -113,7 +113,7 @@
 	p.scheduler.Limits = schedule.AllOf{p.backoffs, p.rateLimits}
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.allowances,
-		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, RateLimits: p.rateLimits, Backoffs: p.backoffs,
+		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs,
 		Pool: p.pool, Metrics: gateway.NewMetrics(p.metrics), Log: log, KnownState: p.knownState, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
 	})
 	p.setUpDuties(client)
--- a/pkg/endpoints/endpoint.go
+++ b/pkg/endpoints/endpoint.go
@@ -39,6 +39,8 @@
 	Born int64
 }
 
+func (i Info) key() Key { return Key{ID: i.ID, Born: i.Born} }
+
 // sameProcess reports whether two registrations are of the same process of an endpoint.
 func (i Info) sameProcess(o Info) bool {
 	return i.ID == o.ID && i.Born == o.Born && i.Addr == o.Addr && i.Service == o.Service
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// maxDeparted bounds the number of departed endpoints that are remembered.
+// maxDeparted bounds the number of departed endpoints, and of drained ones, that are remembered.
 const maxDeparted = 100_000
 
 // Table holds the registered endpoints. It is safe for concurrent use.
@@ -20,14 +20,17 @@
 	// departed holds the process start of each endpoint that was leaving and has been
 	// removed, by id, so that an old copy of its registration doesn't add it again.
 	departed map[string]int64
-	lists    atomic.Pointer[map[string][]*Endpoint]
+	// drained holds the registrations of the processes that have said that they are
+	// leaving. Their next registrations may not say so.
+	drained map[Key]Info
+	lists   atomic.Pointer[map[string][]*Endpoint]
 	// onChange is called after each change, without the lock.
 	onChange func()
 }
 
 // NewTable returns an empty table. onChange is called after each change.
 func NewTable(onChange func()) *Table {
-	t := &Table{all: make(map[string]*Endpoint), expiry: make(map[string]time.Time), departed: make(map[string]int64), onChange: onChange}
+	t := &Table{all: make(map[string]*Endpoint), expiry: make(map[string]time.Time), departed: make(map[string]int64), drained: make(map[Key]Info), onChange: onChange}
 	t.lists.Store(&map[string][]*Endpoint{})
 	return t
 }
@@ -64,6 +67,9 @@
 	if born, left := t.departed[i.ID]; left && born == i.Born {
 		return
 	}
+	if said, ok := t.drained[i.key()]; ok && said.sameProcess(i) {
+		i.Leaving = true
+	}
 	delete(t.expiry, i.ID)
 	existing, ok := t.all[i.ID]
 	if ok && existing.Info().sameProcess(i) {
@@ -76,6 +82,39 @@
 	t.all[i.ID] = newEndpoint(i)
 }
 
+// MarkLeaving marks an endpoint as accepting no new requests, whatever its registration
+// says from now on. It reports whether that is news.
+func (t *Table) MarkLeaving(e *Endpoint) bool {
+	i := e.Info()
+	if !t.recordDrained(i) {
+		return false
+	}
+	e.markLeaving()
+	t.mu.Lock()
+	if registered, ok := t.all[i.ID]; ok && registered.Info().sameProcess(i) {
+		registered.markLeaving()
+	}
+	t.rebuild()
+	t.mu.Unlock()
+	t.onChange()
+	return !i.Leaving
+}
+
+// recordDrained records that a process has said that it is leaving. It reports whether
+// that wasn't recorded before.
+func (t *Table) recordDrained(i Info) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	said, known := t.drained[i.key()]
+	if known && said.sameProcess(i) {
+		return false
+	}
+	if len(t.drained) < maxDeparted {
+		t.drained[i.key()] = i
+	}
+	return true
+}
+
 // Remove removes a registration.
 func (t *Table) Remove(id string) {
 	t.mu.Lock()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -108,9 +108,14 @@
 	if meta.WrongTarget {
 		return
 	}
-	k := a.placement.Endpoint.Key()
-	a.gateway.RateLimits.Observe(k, a.sent, meta.RateLimit)
-	a.gateway.Backoffs.Observe(k, meta.Backoff)
+	g := a.gateway
+	e := a.placement.Endpoint
+	if meta.Leaving && g.Endpoints.MarkLeaving(e) {
+		g.Log.Info("endpoint leaving", "endpoint", e.ID, "service", e.Service, "source", "answer")
+	}
+	k := e.Key()
+	g.RateLimits.Observe(k, a.sent, meta.RateLimit)
+	g.Backoffs.Observe(k, meta.Backoff)
 }
 
 // belongsToRequest reports whether a response belongs to the request. Error
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -69,6 +69,13 @@
 	Observe(k endpoints.Key, r backoff.Request)
 }
 
+// Endpoints holds the registered endpoints.
+type Endpoints interface {
+	// MarkLeaving marks an endpoint as accepting no new requests, for good. It reports
+	// whether that is news.
+	MarkLeaving(e *endpoints.Endpoint) bool
+}
+
 // Options holds the dependencies of a Gateway. All fields are required.
 type Options struct {
 	Protocol  Protocol
@@ -77,6 +84,7 @@
 	Allowance Allowance
 	Retries   Retries
 	Usage     Usage
+	Endpoints Endpoints
 	// RateLimits keeps the endpoints' rate limits.
 	RateLimits RateLimits
 	// Backoffs keeps the times until which endpoints want no requests.
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -62,6 +62,8 @@
 	NotRun bool
 	// WrongTarget means that another endpoint than the intended one responded.
 	WrongTarget bool
+	// Leaving means that the endpoint says that it is leaving.
+	Leaving bool
 	// RateLimit is what the response says of the endpoint's rate limit.
 	RateLimit ratelimit.Announcement
 	// Backoff is what the response says of the time for which its endpoint wants no requests.
