Bound what is read of answers without end, and answer the caller from another endpoint

What callers would have seen: an instance that runs out of memory, and no answer.

Cause, each seen in a test that hung or grew until it was killed: heads were read without a bound (status line, header line, headers); a plain answer of unknown length was forwarded to the caller for as long as it went on, or waited for until the deadline (504); an event without end was searched from its beginning for each part that arrived, 8 GB of searching for 1 MB; the body of a refusal was awaited to its end, and one of just the largest size counted as read to its end.

Change: a head may have 64 KiB; what is searched of an event isn't searched again; a refusal's body is read for 50 ms; a plain answer of unknown or large length that goes on beyond 256 KiB, or beyond the time allowed for its head, is tried on another endpoint if it may be repeated, unless such answers of its route were seen to end before.

TestGateway_AnswersCallerDespiteEndlessBytes (16 kinds, fast and slow): status line, header line, headers, body and event hung before, the slow body was answered 504; all are answered now, with at most 4 MiB read. TestGateway_DeliversLargeAnswersOfUnknownLength shows the other side.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -14,7 +14,7 @@
 	"github.com/medlarsill/medlarsill/pkg/upstream"
 )
 
-// Limits on the time that an endpoint may take to begin its response.
+// Limits on the time that an endpoint may take for its response.
 const (
 	// responseTimeoutFactor is the number of latency objectives after which a
 	// repeatable request is tried on another endpoint.
@@ -132,8 +132,13 @@
 		_ = a.conn.SetReadDeadline(time.Time{})
 		return
 	}
-	wait := min(left, max(minResponseTimeout, responseTimeoutFactor*a.route.Target))
-	_ = a.conn.SetReadDeadline(a.gateway.Now().Add(wait))
+	_ = a.conn.SetReadDeadline(a.gateway.Now().Add(min(left, a.responseTimeout())))
+}
+
+// responseTimeout returns how long an endpoint may take for the head or the body of a
+// response before the request is tried on another one.
+func (a *attempt) responseTimeout() time.Duration {
+	return max(minResponseTimeout, responseTimeoutFactor*a.route.Target)
 }
 
 // request returns the request for the endpoint, with path, query and body unchanged.
@@ -175,8 +180,7 @@
 // request did not run.
 func (a *attempt) handleRefusal(resp *http.Response, meta ResponseMeta) outcome {
 	a.possibleRuns--
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes))
-	a.reusable = err == nil
+	a.reusable = a.discardRefusal(resp.Body)
 	if meta.WrongTarget {
 		a.placement.Endpoint.RecordUnreachable(a.gateway.Now())
 		return outcome{state: stateRefused, reason: "another endpoint has the address"}
@@ -184,9 +188,19 @@
 	return outcome{state: stateRefused, reason: "endpoint full"}
 }
 
-// maxRefusalBytes limits how much of a refusal's body is read in order to reuse
-// the connection.
-const maxRefusalBytes = 64 << 10
+const (
+	// maxRefusalBytes and refusalTimeout limit how much of a refusal's body is read, and
+	// for how long, in order to reuse the connection.
+	maxRefusalBytes = 64 << 10
+	refusalTimeout  = 50 * time.Millisecond
+)
+
+// discardRefusal reads the body of a refusal. It reports whether the body has ended.
+func (a *attempt) discardRefusal(body io.Reader) bool {
+	_ = a.conn.SetReadDeadline(a.gateway.Now().Add(refusalTimeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxRefusalBytes))
+	return err == nil && n < maxRefusalBytes
+}
 
 // markRunning records that the request runs, and counts it for its workspace once.
 func (a *attempt) markRunning() {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -106,8 +107,11 @@
 type Gateway struct {
 	Options
 	retryDetector retryDetector
-	stopping      atomic.Bool
-	active        atomic.Int64
+	// largeResponses holds the names of the routes that have had a complete response
+	// larger than maxBufferedBytes.
+	largeResponses sync.Map
+	stopping       atomic.Bool
+	active         atomic.Int64
 }
 
 // New returns a gateway.
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -21,14 +21,19 @@
 	g := a.gateway
 	a.placement.AnswerStarted()
 	a.markRunning()
-	_ = a.conn.SetReadDeadline(time.Time{})
+	a.setBodyDeadline(resp)
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		return a.handleTruncated(ctx)
 	}
 	response := &bufferedResponse{status: resp.StatusCode, header: g.Protocol.ResponseHeader(resp.Header), body: head, endpoint: a.placement.Endpoint.ID}
 	if len(head) > maxBufferedBytes {
+		if a.mayBeEndless(resp) {
+			a.placement.Endpoint.RecordFailure(g.Now())
+			return outcome{state: stateUnknown, reason: "answer without end"}
+		}
 		response.rest = resp.Body
+		_ = a.conn.SetReadDeadline(time.Time{})
 	}
 	if resp.StatusCode >= http.StatusInternalServerError && response.rest == nil && a.mayRetryFailure() {
 		a.reusable = true
@@ -43,6 +48,30 @@
 	return outcome{state: stateAnswered, done: true}
 }
 
+// setBodyDeadline limits the wait for the end of a response that may be endless, and for
+// no other.
+func (a *attempt) setBodyDeadline(resp *http.Response) {
+	until := time.Time{}
+	if a.mayBeEndless(resp) {
+		until = a.gateway.Now().Add(a.responseTimeout())
+	}
+	_ = a.conn.SetReadDeadline(until)
+}
+
+// mayBeEndless reports whether a response is not known to end soon, and should be tried on
+// another endpoint if it doesn't: its length is unknown or large, the request may be
+// repeated, and no response of the route was that large before.
+func (a *attempt) mayBeEndless(resp *http.Response) bool {
+	if resp.ContentLength >= 0 && resp.ContentLength <= maxBufferedBytes {
+		return false
+	}
+	if !a.route.Repeatable() || a.possibleRuns >= a.route.MaxAttempts {
+		return false
+	}
+	_, large := a.gateway.largeResponses.Load(a.route.Name)
+	return !large
+}
+
 // bufferedResponse is a response that was read from an endpoint.
 type bufferedResponse struct {
 	status   int
@@ -65,6 +94,7 @@
 		if _, err := io.Copy(c.w, p.rest); err != nil {
 			c.abort("answer broke off")
 		}
+		c.gateway.largeResponses.Store(c.route.Name, true)
 	}
 	c.recordResponse(p.status, p.endpoint)
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -30,9 +30,10 @@
 	chunk := make([]byte, readSize)
 	for {
 		n, err := resp.Body.Read(chunk)
+		searched := max(0, len(buf)-len(eventEnd)+1)
 		buf = append(buf, chunk[:n]...)
-		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
-			events := buf[:end+len(eventEnd)]
+		if end := bytes.LastIndex(buf[searched:], eventEnd); end >= 0 {
+			events := buf[:searched+end+len(eventEnd)]
 			if !a.writeEvents(rc, resp, events) {
 				return outcome{state: stateUnknown, reason: "events out of order"}
 			}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -41,7 +41,9 @@
 // Conn is one connection to an endpoint. It carries one request at a time.
 type Conn struct {
 	net.Conn
-	br *bufio.Reader
+	// br reads from the connection through head.
+	br   *bufio.Reader
+	head *headLimiter
 	// idleSince is when the connection was last returned to the pool.
 	idleSince time.Time
 	// idleTimeout is the endpoint's timeout for idle connections; 0 if unknown.
@@ -53,7 +55,8 @@
 }
 
 func newConn(c net.Conn) *Conn {
-	return &Conn{Conn: c, br: bufio.NewReaderSize(c, bufferBytes)}
+	head := &headLimiter{r: c}
+	return &Conn{Conn: c, br: bufio.NewReaderSize(head, bufferBytes), head: head}
 }
 
 // Reused reports whether the connection has carried an earlier request.
@@ -104,7 +107,7 @@
 // read reads responses until one belongs to the request.
 func (c *Conn) read(req *http.Request, isOwn func(*http.Response) bool) (*http.Response, error) {
 	for range maxSkippedResponses {
-		resp, err := http.ReadResponse(c.br, req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
@@ -125,6 +128,13 @@
 	return nil, eris.New("too many informational responses or responses to other requests")
 }
 
+// readHead reads the header of one response.
+func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
+	c.head.start()
+	defer c.head.end()
+	return http.ReadResponse(c.br, req)
+}
+
 // updateReuse sets noReuse and idleTimeout from a response header.
 func (c *Conn) updateReuse(resp *http.Response) {
 	if resp.Close {
