Bound what the older entry reads of an engine's answer

The same cause in the older face: a token, or an object, without end was read into memory for as long as it came, and heads up to net/http's 10 MB. A token may have 1 MiB, any other answer 16 MiB, a head 64 KiB. TestEndlessAnswerIsBroken hung until its timeout before; TestLongStreamIsRead shows that the bound holds for a token and not for the stream. Plain services (pkg/forward) were bounded already.

--- a/cmd/medlarsill-entry/process.go
+++ b/cmd/medlarsill-entry/process.go
@@ -37,6 +37,8 @@
 	idleConnsPerEndpoint = 64
 	// connBufferBytes is small to save memory on open connections; a token needs far less.
 	connBufferBytes = 1 << 10
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // process holds the components of one entry. They are created in the order of
@@ -238,6 +240,6 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnsPerEndpoint, DisableCompression: true,
-		ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes,
+		ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
--- a/pkg/engine/httpengine/client.go
+++ b/pkg/engine/httpengine/client.go
@@ -23,6 +23,13 @@
 // Timeout is the time limit of every call except token streams.
 const Timeout = 2 * time.Second
 
+const (
+	// maxTokenBytes bounds what is read for one token of a stream, and maxObjectBytes the
+	// answer to any other call.
+	maxTokenBytes  = 1 << 20
+	maxObjectBytes = 16 << 20
+)
+
 // NotRunHeader is the response header that an endpoint sets if it refuses a
 // request before running any of it.
 const NotRunHeader = "Endpoint-Not-Run"
@@ -58,7 +65,8 @@
 		cancel()
 		return nil, err
 	}
-	return &stream{body: resp.Body, dec: json.NewDecoder(resp.Body), cancel: cancel}, nil
+	limited := &io.LimitedReader{R: resp.Body}
+	return &stream{body: resp.Body, limited: limited, dec: json.NewDecoder(limited), cancel: cancel}, nil
 }
 
 // Probe implements engine.Engine.
@@ -135,7 +143,7 @@
 	if err := statusError(resp); err != nil {
 		return err
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxObjectBytes)).Decode(out); err != nil {
 		return eris.Wrap(engine.ErrBroken, err.Error())
 	}
 	return nil
@@ -167,7 +175,9 @@
 
 // stream reads tokens from a response body.
 type stream struct {
-	body     io.ReadCloser
+	body io.ReadCloser
+	// limited limits what is read of the body for one token.
+	limited  *io.LimitedReader
 	dec      *json.Decoder
 	cancel   context.CancelFunc
 	once     sync.Once
@@ -180,6 +190,7 @@
 		return engine.Token{}, io.EOF
 	}
 	var t engine.Token
+	s.limited.N = maxTokenBytes
 	if err := s.dec.Decode(&t); err != nil {
 		return engine.Token{}, eris.Wrap(engine.ErrBroken, err.Error())
 	}
--- a/pkg/engine/httpengine/client_test.go
+++ b/pkg/engine/httpengine/client_test.go
@@ -73,6 +73,54 @@
 	_, _ = s.Next()
 }
 
+// Guards against an endpoint whose answer doesn't end, within a token or an object: the
+// client must give up after a bounded number of bytes.
+func TestEndlessAnswerIsBroken(t *testing.T) {
+	endless := func(begin string) func(w http.ResponseWriter) {
+		return func(w http.ResponseWriter) {
+			text := begin
+			for {
+				if _, err := io.WriteString(w, text); err != nil {
+					return
+				}
+				text = strings.Repeat("x", 32<<10)
+			}
+		}
+	}
+	t.Run("token", func(t *testing.T) {
+		g := NewWithT(t)
+		s, err := httpengine.NewClient(http.DefaultClient).Generate(context.Background(), serve(t, endless(`{"index":0,"text":"`)), engine.Request{})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = s.Next()
+		g.Expect(err).To(MatchError(engine.ErrBroken))
+		g.Expect(s.Close()).To(Succeed())
+	})
+	t.Run("load", func(t *testing.T) {
+		g := NewWithT(t)
+		_, err := httpengine.NewClient(http.DefaultClient).Load(context.Background(), serve(t, endless(`{"running":"`)))
+		g.Expect(err).To(MatchError(engine.ErrBroken))
+	})
+}
+
+// Guards against a limit that counts all tokens of a stream together.
+func TestLongStreamIsRead(t *testing.T) {
+	g := NewWithT(t)
+	const tokens = 400
+	text := strings.Repeat("x", 8<<10)
+	s, err := httpengine.NewClient(http.DefaultClient).Generate(context.Background(), serve(t, func(w http.ResponseWriter) {
+		for range tokens {
+			_, _ = io.WriteString(w, `{"index":0,"text":"`+text+`"}`+"\n")
+		}
+	}), engine.Request{})
+	g.Expect(err).NotTo(HaveOccurred())
+	for range tokens {
+		token, err := s.Next()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(token.Text).To(Equal(text))
+	}
+	g.Expect(s.Close()).To(Succeed())
+}
+
 func serve(t *testing.T, answer func(w http.ResponseWriter)) string {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(w) }))
 	t.Cleanup(server.Close)
