Rate limits of endpoints: sized for 4,500 limits before 880 instances

Cause: each new limit copied the map of all; ranks were computed by hashing all members for each limit; 16 reports a second to 24 peers would be 14 KB/s; and an instance that doesn't use a limit took it for lifted after 10 s without news, so that with thousands of limits it would have begun to use them.

Change: a sync.Map; members hashed once a tick; four reports in turn a second beside what changed; instances without a part keep a limit for ten minutes and hear of lifts from those with one, which are told for as long as the rate grows again; an answer without the endpoint's proof lifts nothing.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -114,7 +114,10 @@
 		g.Log.Info("endpoint leaving", "endpoint", e.ID, "service", e.Service, "source", "answer")
 	}
 	k := e.Key()
-	g.RateLimits.Observe(k, a.sent, meta.RateLimit)
+	if meta.RateLimit.Limited || meta.RateLimit.Err != nil || meta.Stamped || meta.NotRun {
+		// An answer without the endpoint's proof may lack what the endpoint announces.
+		g.RateLimits.Observe(k, a.sent, meta.RateLimit)
+	}
 	g.Backoffs.Observe(k, meta.Backoff)
 }
 
--- a/pkg/ratelimit/fleet_test.go
+++ b/pkg/ratelimit/fleet_test.go
@@ -71,6 +71,8 @@
 	registered map[string]bool
 	killed     []*instance
 	perSecond  float64
+	// unlimited is true while the endpoint announces no limit.
+	unlimited bool
 	// arrivals holds the times at which requests arrived that the bound counts.
 	arrivals []time.Time
 	all      int
@@ -242,7 +244,7 @@
 			return false
 		}
 		a.to.now = s.now
-		a.limits.Observe(limited, a.sent, Announcement{Limited: true, PerSecond: s.perSecond})
+		a.limits.Observe(limited, a.sent, Announcement{Limited: !s.unlimited, PerSecond: s.perSecond})
 		if a.to.told.IsZero() {
 			a.to.told = s.now
 		}
@@ -340,6 +342,31 @@
 	}
 }
 
+// Guards against a flood of requests to an endpoint that announces its limit again shortly
+// after it ceased to, and against a limit that stays after its end.
+func TestLimits_HoldWhenAnnouncedAgain(t *testing.T) {
+	for _, count := range []int{6, 83} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSimulation(count, 2, 1)
+			s.run(8 * time.Second)
+			for _, pause := range []time.Duration{500 * time.Millisecond, 2 * time.Second} {
+				s.unlimited = true
+				s.run(pause)
+				s.unlimited = false
+				after := s.now
+				s.run(6 * time.Second)
+				g.Expect(s.mostInWindow(after)).To(BeNumerically("<=", s.allowed()), "after %v", pause)
+			}
+			s.unlimited = true
+			s.run(16 * time.Second)
+			for _, i := range s.instances {
+				g.Expect(i.limits.Active()).To(BeZero())
+			}
+		})
+	}
+}
+
 // Guards against a burst from instances that all wake from a long freeze at once.
 func TestLimits_HoldAfterFreezeOfAllInstances(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/ratelimit/limit.go
+++ b/pkg/ratelimit/limit.go
@@ -9,10 +9,13 @@
 	// minPerSecond is the rate at which an endpoint is still tried whose limit is lower,
 	// in requests a second: only its answers tell when the limit is lifted.
 	minPerSecond = 0.1
-	// expireAfter is the time without an announcement after which a limit is lifted, and
-	// expireRequests the number of requests that must have been possible in that time.
-	expireAfter    = 10 * time.Second
-	expireRequests = 3
+	// expireAfter is the time without an announcement after which an instance that may use
+	// the limit takes it for lifted, and expireRequests the number of requests that must
+	// have been possible in that time. Others wait for idleExpireAfter: they hear of a lift
+	// from those that use the limit.
+	expireAfter     = 30 * time.Second
+	expireRequests  = 3
+	idleExpireAfter = 10 * time.Minute
 	// rampDoubling is the time in which the rate doubles after a limit is lifted, and
 	// rampEnd the time after which it is no longer bounded. An endpoint that announces
 	// its limit again soon is not flooded meanwhile.
@@ -81,7 +84,8 @@
 	return true
 }
 
-// lifetime returns how long a limit is in force after its newest announcement.
+// lifetime returns how long a limit is in force after its newest announcement at an
+// instance that may use it.
 func lifetime(perSecond float64) time.Duration {
 	return max(expireAfter, seconds(expireRequests/max(perSecond, minPerSecond)))
 }
@@ -89,7 +93,11 @@
 // refresh lifts a limit that wasn't announced for its lifetime. It reports whether the
 // limit still bounds the rate.
 func (l *limit) refresh(now time.Time) bool {
-	if expiry := l.announcedAt.Add(lifetime(l.perSecond)); now.After(expiry) {
+	after := idleExpireAfter
+	if l.share > 0 {
+		after = lifetime(l.perSecond)
+	}
+	if expiry := l.announcedAt.Add(after); now.After(expiry) {
 		l.lift(expiry, now)
 	}
 	return l.inForce() || now.Sub(l.rampStart) < rampEnd
--- a/pkg/ratelimit/limits.go
+++ b/pkg/ratelimit/limits.go
@@ -11,13 +11,11 @@
 
 import (
 	"log/slog"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
-	"github.com/medlarsill/medlarsill/pkg/rendezvous"
 )
 
 const (
@@ -54,9 +52,10 @@
 // Limits holds the rate limits in force, by endpoint. It is safe for concurrent use.
 type Limits struct {
 	Options
-	// active holds the limits; the map is replaced at each change, so that it can be read
-	// without a lock.
-	active atomic.Pointer[map[endpoints.Key]*guardedLimit]
+	// active holds the *guardedLimit of each endpoints.Key, and count their number, so that
+	// nothing is looked up while there is none.
+	active sync.Map
+	count  atomic.Int64
 
 	mu sync.Mutex
 	// lastTick is the time of the newest tick.
@@ -74,13 +73,11 @@
 
 // New returns Limits without a limit in force.
 func New(o Options) *Limits {
-	l := &Limits{Options: o, lastTick: o.Now()}
-	l.active.Store(&map[endpoints.Key]*guardedLimit{})
-	return l
+	return &Limits{Options: o, lastTick: o.Now()}
 }
 
 // Active returns the number of limits in force.
-func (l *Limits) Active() int { return len(*l.active.Load()) }
+func (l *Limits) Active() int { return int(l.count.Load()) }
 
 // Sent records that a request was sent to an endpoint; repeated means that the same
 // request was sent to another endpoint before.
@@ -91,8 +88,22 @@
 }
 
 func (l *Limits) find(k endpoints.Key) (*guardedLimit, bool) {
-	g, ok := (*l.active.Load())[k]
-	return g, ok
+	if l.Active() == 0 {
+		return nil, false
+	}
+	g, ok := l.active.Load(k)
+	if !ok {
+		return nil, false
+	}
+	return g.(*guardedLimit), true
+}
+
+// all calls a function for each limit.
+func (l *Limits) all(visit func(k endpoints.Key, g *guardedLimit)) {
+	l.active.Range(func(k, g any) bool {
+		visit(k.(endpoints.Key), g.(*guardedLimit))
+		return true
+	})
 }
 
 // Available reports whether a request may be sent to an endpoint now.
@@ -176,16 +187,14 @@
 	if g, ok := l.find(k); ok {
 		return g, true
 	}
-	old := *l.active.Load()
-	if len(old) >= maxLimits {
+	if l.Active() >= maxLimits {
 		l.Log.Warn("ignoring rate limit", "endpoint", k.ID, "reason", "too many limits")
 		return nil, false
 	}
 	g := &guardedLimit{limit: limit{perSecond: unknownRate, announcedAt: at, refilledAt: l.Now()}}
-	g.rank = rank(l.Members(), k)
-	next := maps.Clone(old)
-	next[k] = g
-	l.active.Store(&next)
+	g.rank = newRanking(l.Members()).rank(k)
+	l.active.Store(k, g)
+	l.count.Add(1)
 	return g, true
 }
 
@@ -206,52 +215,27 @@
 	now := l.Now()
 	pause := now.Sub(l.lastTick)
 	l.lastTick = now
-	all := *l.active.Load()
-	if len(all) == 0 {
+	if l.Active() == 0 {
 		return
 	}
 	m := l.Members()
-	hash := membersHash(m)
-	kept := make(map[endpoints.Key]*guardedLimit, len(all))
-	for k, g := range all {
+	ranking := newRanking(m)
+	membersChanged := ranking.hash() != l.membersHash
+	l.membersHash = ranking.hash()
+	l.all(func(k endpoints.Key, g *guardedLimit) {
 		g.Lock()
+		defer g.Unlock()
 		if pause > maxTickAge {
 			g.postpone(pause)
 		}
-		if hash != l.membersHash {
-			g.rank = rank(m, k)
+		if membersChanged {
+			g.rank = ranking.rank(k)
 		}
-		if g.refresh(now) {
-			g.setShare(len(m.IDs), m.Settled, now)
-			kept[k] = g
+		if !g.refresh(now) {
+			l.active.Delete(k)
+			l.count.Add(-1)
+			return
 		}
-		g.Unlock()
-	}
-	l.membersHash = hash
-	if len(kept) < len(all) {
-		l.active.Store(&kept)
-	}
-}
-
-// rank returns this instance's position among the members in the order in which they are
-// chosen to share the limit of an endpoint.
-func rank(m Membership, k endpoints.Key) int {
-	key := rendezvous.Key(k.ID)
-	own := rendezvous.Weight(key, m.Self)
-	rank := 0
-	for _, id := range m.IDs {
-		if rendezvous.Weight(key, id) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
-// membersHash returns a hash of the members that doesn't depend on their order.
-func membersHash(m Membership) uint64 {
-	var sum uint64
-	for _, id := range m.IDs {
-		sum += rendezvous.HashWeight(0, rendezvous.Key(id))
-	}
-	return sum
+		g.setShare(len(m.IDs), m.Settled, now)
+	})
 }
--- a/pkg/ratelimit/report.go
+++ b/pkg/ratelimit/report.go
@@ -13,13 +13,15 @@
 	// maxReports is the largest number of reports in one message, so that the message fits
 	// into a datagram.
 	maxReports = 16
-	// changePeriod is the time for which a change is part of each message.
+	// changePeriod is the time for which a change is part of each message. A lift is for as
+	// long as the rate grows again.
 	changePeriod = time.Second
-	// refreshRounds is the number of messages of which one has further limits, in turn, so
-	// that peers know that these are still in force.
-	refreshRounds = 5
-	// maxReportAge is the largest age of a report that is believed.
-	maxReportAge = time.Minute
+	// refreshRounds is the number of messages of which one has refreshReports further
+	// limits, in turn, so that new instances hear of them.
+	refreshRounds  = 5
+	refreshReports = 4
+	// maxReportAge is the largest age of a valid report.
+	maxReportAge = idleExpireAfter
 )
 
 // Report tells the peers of one limit.
@@ -47,29 +49,28 @@
 func (l *Limits) Reports() []Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	all := *l.active.Load()
-	if len(all) == 0 {
+	if l.Active() == 0 {
 		return nil
 	}
 	now := l.Now()
 	l.reporter.round++
 	refresh := l.reporter.round%refreshRounds == 0
 	var changed, others []endpoints.Key
-	for k, g := range all {
+	l.all(func(k endpoints.Key, g *guardedLimit) {
 		g.Lock()
-		recent := now.Sub(g.changedAt) <= changePeriod
-		g.Unlock()
+		defer g.Unlock()
 		switch {
-		case recent:
+		case now.Sub(g.changedAt) <= changePeriod || !g.inForce():
 			changed = append(changed, k)
 		case refresh:
 			others = append(others, k)
 		}
-	}
-	chosen := l.reporter.choose(changed, others)
-	reports := make([]Report, 0, len(chosen))
-	for _, k := range chosen {
-		reports = append(reports, all[k].report(k, now))
+	})
+	var reports []Report
+	for _, k := range l.reporter.choose(changed, others) {
+		if g, ok := l.find(k); ok {
+			reports = append(reports, g.report(k, now))
+		}
 	}
 	return reports
 }
@@ -88,7 +89,7 @@
 		start++
 	}
 	turn := slices.Concat(others[start:], others[:start])
-	turn = turn[:min(len(turn), maxReports-len(changed))]
+	turn = turn[:min(len(turn), refreshReports, maxReports-len(changed))]
 	if len(turn) > 0 {
 		r.last = turn[len(turn)-1]
 	}
