--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -59,11 +59,36 @@
 	idle bool
 }
 
+// The states of a conn.
+const (
+	// connWaiting means that no request is being handled.
+	connWaiting int32 = iota
+	// connActive means that a request is being handled.
+	connActive
+	// connClosing means that the connection is being closed, and takes no request.
+	connClosing
+)
+
 // conn is a caller's connection. received is true once bytes of its next request
 // were received.
 type conn struct {
 	net.Conn
 	received atomic.Bool
+	state    atomic.Int32
+}
+
+// connKey is the context key of a request's *conn.
+type connKey struct{}
+
+// handler passes a request on unless its connection is being closed.
+func handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if ok && !c.state.CompareAndSwap(connWaiting, connActive) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Read implements net.Conn.
@@ -75,9 +100,18 @@
 	return n, err
 }
 
-// closeOverdue closes a connection that has exceeded a limit. If part of a request
-// was received, it first responds with status 408.
+// Close implements net.Conn. A request that is read at the same time isn't handled.
+func (c *conn) Close() error {
+	c.state.CompareAndSwap(connWaiting, connClosing)
+	return c.Conn.Close()
+}
+
+// closeOverdue closes a connection that has exceeded a limit, unless a request is being
+// handled meanwhile. If part of a request was received, it first responds with status 408.
 func (c *conn) closeOverdue() {
+	if !c.state.CompareAndSwap(connWaiting, connClosing) {
+		return
+	}
 	if c.received.Load() {
 		// If the write fails, the caller just sees the connection closed.
 		_ = c.SetWriteDeadline(time.Now().Add(timeoutWriteLimit))
@@ -101,7 +135,10 @@
 // New returns a server for a handler. It calls limits at each check of the connections.
 func New(addr string, h http.Handler, limits func() Limits, now func() time.Time) *Server {
 	s := &Server{limits: limits, now: now, waiting: make(map[net.Conn]waitState)}
-	s.http = &http.Server{Addr: addr, Handler: h, MaxHeaderBytes: maxHeaderBytes, ConnState: s.connState}
+	s.http = &http.Server{
+		Addr: addr, Handler: handler(h), MaxHeaderBytes: maxHeaderBytes, ConnState: s.connState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+	}
 	return s
 }
 
@@ -129,6 +166,7 @@
 		s.waiting[c] = waitState{since: s.now()}
 	case http.StateIdle:
 		c.(*conn).received.Store(false)
+		c.(*conn).state.CompareAndSwap(connActive, connWaiting)
 		s.waiting[c] = waitState{since: s.now(), idle: true}
 	default:
 		delete(s.waiting, c)
