--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -160,30 +160,37 @@
 	return m[1]
 }
 
-type checkCommand struct {
-	app *app
-	fileArgument
-}
-
-// Execute implements flags.Commander.
-func (c *checkCommand) Execute([]string) error {
-	data, err := readFile(c.name())
+// withFile calls a function with a client and the content of a file.
+func (a *app) withFile(name string, call func(ctx context.Context, cl *client.Client, data []byte) error) error {
+	data, err := readFile(name)
 	if err != nil {
 		return err
 	}
-	cl, ctx, cancel, err := c.app.connect()
+	cl, ctx, cancel, err := a.connect()
 	if err != nil {
 		return err
 	}
 	defer cancel()
-	out, err := cl.Check(ctx, c.name(), data)
-	if err != nil {
-		return err
-	}
-	if !out.Valid {
-		c.app.code = ExitInvalid
-	}
-	return c.app.printCheck(&out)
+	return call(ctx, cl, data)
+}
+
+type checkCommand struct {
+	app *app
+	fileArgument
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	return c.app.withFile(c.name(), func(ctx context.Context, cl *client.Client, data []byte) error {
+		out, err := cl.Check(ctx, c.name(), data)
+		if err != nil {
+			return err
+		}
+		if !out.Valid {
+			c.app.code = ExitInvalid
+		}
+		return c.app.printCheck(&out)
+	})
 }
 
 type diffCommand struct {
@@ -193,20 +200,13 @@
 
 // Execute implements flags.Commander.
 func (c *diffCommand) Execute([]string) error {
-	data, err := readFile(c.name())
-	if err != nil {
-		return err
-	}
-	cl, ctx, cancel, err := c.app.connect()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	out, err := cl.Diff(ctx, c.name(), data)
-	if err != nil {
-		return err
-	}
-	return c.app.printDiff(&out)
+	return c.app.withFile(c.name(), func(ctx context.Context, cl *client.Client, data []byte) error {
+		out, err := cl.Diff(ctx, c.name(), data)
+		if err != nil {
+			return err
+		}
+		return c.app.printDiff(&out)
+	})
 }
 
 type referenceCommand struct{ app *app }
--- a/pkg/endpoints/endpoint.go
+++ b/pkg/endpoints/endpoint.go
@@ -71,13 +71,10 @@
 	// prefillSince is the estimated start of the current prefill: the time of the last
 	// answer, or of the first request after an idle time.
 	prefillSince time.Time
-	// leaving is closed when the endpoint stops accepting requests.
-	leaving     chan struct{}
-	leavingOnce sync.Once
 }
 
 func newEndpoint(i Info) *Endpoint {
-	e := &Endpoint{ID: i.ID, Service: i.Service, Addr: i.Addr, DataCentre: i.DataCentre, born: i.Born, leaving: make(chan struct{})}
+	e := &Endpoint{ID: i.ID, Service: i.Service, Addr: i.Addr, DataCentre: i.DataCentre, born: i.Born}
 	e.update(i)
 	return e
 }
@@ -91,9 +88,6 @@
 	defer e.mu.Unlock()
 	i.Leaving = i.Leaving || e.info.Leaving
 	e.info = i
-	if i.Leaving {
-		e.leavingOnce.Do(func() { close(e.leaving) })
-	}
 }
 
 // markLeaving marks the endpoint as accepting no new requests.
@@ -101,7 +95,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.info.Leaving = true
-	e.leavingOnce.Do(func() { close(e.leaving) })
 }
 
 // Info returns the newest registration.
@@ -111,9 +104,6 @@
 	return e.info
 }
 
-// Leaving returns a channel that is closed when the endpoint stops accepting requests.
-func (e *Endpoint) Leaving() <-chan struct{} { return e.leaving }
-
 // Begin adds a request with a number of uncached prompt tokens to the load.
 func (e *Endpoint) Begin(prompt int, now time.Time) {
 	e.mu.Lock()
--- a/pkg/endpoints/endpoints_test.go
+++ b/pkg/endpoints/endpoints_test.go
@@ -56,7 +56,7 @@
 	g.Expect(ids(table.Service("s1"))).To(Equal([]string{"i-1"}))
 	after, _ := table.ByID("i-1")
 	g.Expect(after.OwnLoad()).To(Equal(Load{}), "the new process starts without load")
-	g.Expect(before.Leaving()).To(BeClosed())
+	g.Expect(before.Info().Leaving).To(BeTrue())
 }
 
 func TestTable_ServiceChangeCreatesNewEndpoint(t *testing.T) {
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -259,43 +259,6 @@
 	return gone[m.rng.IntN(len(gone))], true
 }
 
-// newProbes starts probes of the successors that have missed too many heartbeats.
-func (m *Machine) newProbes() []Probe {
-	var out []Probe
-	for _, s := range m.ring.successors() {
-		r := m.members[s.ID]
-		if r.probing || r.misses < missesBeforeProbe || r.note.Status != Alive {
-			continue
-		}
-		r.probing = true
-		out = append(out, Probe{Target: s, Helpers: m.pickHelpers(s.ID)})
-	}
-	return out
-}
-
-// pickHelpers returns random reachable peers to probe the target, preferring
-// other data centres.
-func (m *Machine) pickHelpers(target string) []Member {
-	pool := slices.DeleteFunc(slices.Clone(m.ring[1:]), func(p Member) bool {
-		return p.ID == target || m.members[p.ID].misses > 0
-	})
-	m.rng.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
-	slices.SortStableFunc(pool, func(a, b Member) int {
-		return boolInt(a.DataCentre == m.self.DataCentre) - boolInt(b.DataCentre == m.self.DataCentre)
-	})
-	if len(m.ring) <= maxFullMesh {
-		return pool
-	}
-	return pool[:min(probeHelpers, len(pool))]
-}
-
-func boolInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // expire marks members gone whose suspicion time is over, and deletes old records
 // of gone and left members.
 func (m *Machine) expire() {
@@ -346,50 +309,6 @@
 	return m.ringDigest
 }
 
-// Heartbeat returns the heartbeat to send to a peer. The notes that it carries
-// count as sent.
-func (m *Machine) Heartbeat(to string) Heartbeat {
-	h := Heartbeat{From: m.self.ID, Incarnation: m.self.Incarnation, Boot: m.self.Boot, Members: m.digest()}
-	h.Notes = m.queue.take(maxNotes)
-	if r, ok := m.members[to]; ok && (r.note.Status != Alive || r.rebooted) {
-		h.Notes = append(h.Notes, r.note)
-	}
-	return h
-}
-
-// Receive handles a peer's heartbeat and returns the reply.
-func (m *Machine) Receive(h Heartbeat) Heartbeat {
-	m.applyHeartbeat(h)
-	answer := m.Heartbeat(h.From)
-	_, known := m.members[h.From]
-	answer.Unknown = !known
-	return answer
-}
-
-// Answered handles a peer's reply to a heartbeat.
-func (m *Machine) Answered(id string, h Heartbeat) {
-	if r, ok := m.members[id]; ok {
-		r.misses = 0
-	}
-	m.applyHeartbeat(h)
-	if h.Unknown {
-		m.announceSelf()
-	}
-}
-
-// applyHeartbeat merges a heartbeat. Digests are compared only if neither
-// side has notes left to send, as they differ until all notes have spread.
-func (m *Machine) applyHeartbeat(h Heartbeat) {
-	m.Merge(h.Notes)
-	if r, ok := m.members[h.From]; ok {
-		r.rebooted = r.note.Member.Boot != h.Boot
-	}
-	settled := len(h.Notes) == 0 && len(m.queue.notes) == 0
-	if settled && h.Members != m.digest() {
-		m.differingPeer = h.From
-	}
-}
-
 // Missed records that a peer did not answer a heartbeat.
 func (m *Machine) Missed(id string) {
 	if r, ok := m.members[id]; ok {
@@ -397,22 +316,6 @@
 	}
 }
 
-// Probed records the outcome of a probe: whether any helper reached the target.
-func (m *Machine) Probed(id string, reached bool) {
-	r, ok := m.members[id]
-	if !ok {
-		return
-	}
-	r.probing = false
-	if reached {
-		r.misses = 0
-		return
-	}
-	if r.misses > 0 && r.note.Status == Alive {
-		m.mergeNote(Note{Member: r.note.Member, Status: Suspect})
-	}
-}
-
 // Table returns the notes of all known members.
 func (m *Machine) Table() []Note {
 	out := make([]Note, 0, len(m.members))
