Gossip: keep reachable peers of a large fleet that aren't registered

With 83 instances a peer is heard once in 0.8 s or later, so that an instance that had just started, or all of them after the store lost the registrations, left the members for a moment again and again. The time is now that after which a peer counts as unreachable.

TestSetMembers_KeepsReachablePeersOfLargeFleet failed before.

--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -93,6 +93,26 @@
 	g.Expect(n.Members()).To(Equal(2))
 }
 
+// Guards against an unregistered instance that is reachable but dropped from the members,
+// since in a large fleet it is heard only once in several intervals.
+func TestSetMembers_KeepsReachablePeersOfLargeFleet(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	n := newNode("a", &now)
+	list := map[string]netip.AddrPort{}
+	for i := range 82 {
+		list[fmt.Sprint("p", i)] = address(10 + i)
+	}
+	n.SetMembers(registered(list))
+	n.accept(Message{ID: "joining", Boot: 1, Seq: 1}, address(200))
+	now = now.Add(n.PeerTimeout() - Interval)
+	n.SetMembers(registered(list))
+	g.Expect(n.MemberIDs()).To(ContainElement("joining"))
+	now = now.Add(2 * Interval)
+	n.SetMembers(registered(list))
+	g.Expect(n.MemberIDs()).NotTo(ContainElement("joining"))
+}
+
 func TestTargets_RotatesThroughAllPeers(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(0, 0)
--- a/pkg/gossip/members.go
+++ b/pkg/gossip/members.go
@@ -29,6 +29,11 @@
 func (n *Node) PeerTimeout() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.peerTimeout()
+}
+
+// peerTimeout is PeerTimeout for a caller that holds mu.
+func (n *Node) peerTimeout() time.Duration {
 	rounds := 1 + len(n.peers)/fanout(len(n.peers))
 	return time.Duration(timeoutRounds*rounds) * Interval
 }
@@ -94,7 +99,7 @@
 		n.peers[id] = &peer{addr: m.Addr}
 		n.queueNewPeer(m.Addr)
 	}
-	timeout := time.Duration(timeoutRounds) * Interval
+	timeout := n.peerTimeout()
 	for id, p := range n.peers {
 		if _, ok := list[id]; !ok && n.Now().Sub(p.lastSeen) > timeout {
 			delete(n.peers, id)
