Gossip: say whether a registration was removed

A failed removal is a warning of its own now, and the next read tries again. TestRegistry_LogsFailedRemovalAsFailure failed before.

--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -404,6 +405,32 @@
 	g.Expect(n.Members()).To(Equal(3), "restarted")
 }
 
+// Guards against a log that says that a registration was removed when it wasn't.
+func TestRegistry_LogsFailedRemovalAsFailure(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	store := memstore.New()
+	ctx := context.Background()
+	_, err := store.Create(ctx, Prefix+"b", []byte(`{"addr":"10.0.0.2:7600","boot":1}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	var out bytes.Buffer
+	log := slog.New(slog.NewTextHandler(&out, nil))
+	r := &Registry{Store: store, Node: newNode("a", &now), Log: log, Now: func() time.Time { return now }, MayRemove: func() bool { return true }, unseenSince: make(map[string]time.Time)}
+	g.Expect(syncOnce(ctx, r)).To(Succeed())
+	store.SetHook(func(op memstore.Op, _ string) memstore.Fault {
+		if op == memstore.OpDelete {
+			return memstore.FaultUnavailable
+		}
+		return memstore.FaultNone
+	})
+	now = now.Add(RemoveAfter)
+	g.Expect(syncOnce(ctx, r)).To(Succeed())
+	g.Expect(out.String()).To(And(ContainSubstring(`level=WARN msg="failed to remove registration of member"`), Not(ContainSubstring("registration removed"))))
+	store.SetHook(nil)
+	g.Expect(syncOnce(ctx, r)).To(Succeed(), "the next round tries again")
+	g.Expect(out.String()).To(ContainSubstring(`level=INFO msg="registration removed"`))
+}
+
 func TestRegistry_RemovesRegistrationOfLeavingPeer(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
--- a/pkg/gossip/registry.go
+++ b/pkg/gossip/registry.go
@@ -196,6 +196,9 @@
 	if !r.MayRemove() {
 		return
 	}
-	err := r.Store.Delete(ctx, Prefix+id, version)
-	r.Log.Info("removing registration", "member", id, "reason", reason, "error", err)
+	if err := r.Store.Delete(ctx, Prefix+id, version); err != nil {
+		r.Log.Warn("failed to remove registration of member", "member", id, "reason", reason, "error", err.Error())
+		return
+	}
+	r.Log.Info("registration removed", "member", id, "reason", reason)
 }
