--- a/pkg/ratelimit/fleet_test.go
+++ b/pkg/ratelimit/fleet_test.go
@@ -194,18 +194,19 @@
 	}
 }
 
-// exchange makes an instance process its messages, update its shares and send a message.
+// exchange makes an instance update its shares, send a message and process those that
+// have arrived.
 func (s *simulation) exchange(n int) {
 	i := s.instances[n]
 	if !s.now.Before(i.nextRead) && !i.cut {
 		s.read(i)
 	}
+	i.limits.Tick()
+	reports := i.limits.Reports()
 	for _, reports := range i.queue {
 		i.limits.Receive(reports)
 	}
 	i.queue = nil
-	i.limits.Tick()
-	reports := i.limits.Reports()
 	if i.cut || len(reports) == 0 {
 		return
 	}
@@ -400,3 +401,39 @@
 	g.Expect(s.mostInWindow(after)).To(BeNumerically("<=", s.allowed()))
 	g.Expect(s.all - before).To(BeNumerically(">=", 16))
 }
+
+// Guards against instances that start at the same time and use a limit while the others,
+// who don't know them yet, use all of it.
+func TestLimits_HoldWhileManyInstancesJoin(t *testing.T) {
+	g := NewWithT(t)
+	s := newSimulation(6, 2, 1)
+	s.run(8 * time.Second)
+	after := s.now
+	for n := range 77 {
+		s.start(fmt.Sprint("new-", n), false)
+	}
+	s.run(20 * time.Second)
+	g.Expect(s.mostInWindow(after)).To(BeNumerically("<=", s.allowed()))
+}
+
+// Guards against instances that are frozen while their rate grows after a limit was lifted,
+// and wake to find that it has long grown beyond bounds, while it is announced again.
+func TestLimits_HoldAfterFreezeWhileLifted(t *testing.T) {
+	g := NewWithT(t)
+	s := newSimulation(83, 2, 1)
+	s.run(8 * time.Second)
+	s.unlimited = true
+	s.run(time.Second)
+	for _, i := range s.instances[:40] {
+		i.frozen = true
+	}
+	s.unlimited = false
+	s.run(20 * time.Second)
+	after := s.now
+	for _, i := range s.instances {
+		i.frozen = false
+		i.queue = nil // the messages of a long freeze don't fit into a socket's buffer
+	}
+	s.run(6 * time.Second)
+	g.Expect(s.mostInWindow(after)).To(BeNumerically("<=", s.allowed()))
+}
