--- a/pkg/cloud/httpcloud/client.go
+++ b/pkg/cloud/httpcloud/client.go
@@ -61,20 +61,33 @@
 	return out, err
 }
 
-// call sends one request with in as its JSON body, and decodes the response into out
-// unless out is nil.
-func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, in, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+// request returns a request with in as its JSON body; nil means without a body.
+func (c *Client) request(ctx context.Context, method, path string, in any) (*http.Request, error) {
+	if in == nil {
+		req, err := http.NewRequestWithContext(ctx, method, c.base+path, http.NoBody)
+		return req, eris.Wrap(err, "httpcloud: create request")
+	}
 	body, err := json.Marshal(in)
 	if err != nil {
-		return eris.Wrap(err, "httpcloud: encode request body")
+		return nil, eris.Wrap(err, "httpcloud: encode request body")
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return eris.Wrap(err, "httpcloud: create request")
+		return nil, eris.Wrap(err, "httpcloud: create request")
 	}
 	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
+
+// call sends one request with in as its JSON body, if in isn't nil, and decodes the
+// response into out unless out is nil.
+func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := c.request(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return eris.Wrap(cloud.ErrUnknown, err.Error())
