--- a/cmd/medlarsill-admin/main.go
+++ b/cmd/medlarsill-admin/main.go
@@ -59,7 +59,7 @@
 	peers := peer.NewClient(&peer.Directory{}, keys.PeerClient())
 	defer peers.Close()
 	server := admin.New(admin.Options{
-		ID: cfg.ID, Config: admin.NewConfigStore(store, nil), Fleet: admin.NewFleet(store, peers),
+		ID: cfg.ID, Config: admin.NewConfigStore(store, nil), Fleet: admin.NewFleet(store, peers, log),
 		Trail: audit.New(store, nil), Store: store, Cloud: httpcloud.NewClient(cfg.CloudAPI, platform),
 		Operators: auth.New(cfg.Operators), InForceWait: time.Duration(cfg.InForceWaitMS) * time.Millisecond,
 		Log: log, Metrics: admin.NewMetrics(reg), Now: time.Now,
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -196,7 +197,7 @@
 	store := seededStore(g, 1)
 	_, err := store.Create(context.Background(), "members/e1", []byte(`{"id":"e1","addr":"e1"}`))
 	g.Expect(err).NotTo(HaveOccurred())
-	fleet := NewFleet(store, fakePeers{"e1": {id: "e1", revision: 1}})
+	fleet := NewFleet(store, fakePeers{"e1": {id: "e1", revision: 1}}, slog.New(slog.DiscardHandler))
 	entries, err := fleet.Entries(context.Background())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(entries).To(HaveLen(1))
@@ -270,7 +271,7 @@
 					_, err := store.Create(context.Background(), "members/"+id, []byte(`{"id":"`+id+`","addr":"`+id+`","group":3}`))
 					g.Expect(err).NotTo(HaveOccurred())
 				}
-				s := testServer("admin", store, NewFleet(store, c.peers))
+				s := testServer("admin", store, NewFleet(store, c.peers, slog.New(slog.DiscardHandler)))
 				var out api.Change
 				begin := time.Now()
 				status, failure := call(s, putRequest(api.PathPreset, "ann-key", "", 1, api.SwitchPreset{Preset: "peak"}), &out)
@@ -292,7 +293,7 @@
 	g := NewWithT(t)
 	store := seededStore(g, 1)
 	before := store.Calls()
-	s := testServer("admin", store, NewFleet(store, fakePeers{}))
+	s := testServer("admin", store, NewFleet(store, fakePeers{}, slog.New(slog.DiscardHandler)))
 	status, _ := call(s, putRequest(api.PathPreset, "ann-key", "", 1, api.SwitchPreset{Preset: "peak"}), &api.Change{})
 	g.Expect(status).To(Equal(http.StatusOK))
 	after := store.Calls()
--- a/pkg/admin/fleet.go
+++ b/pkg/admin/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -49,14 +50,15 @@
 type polledFleet struct {
 	store  objectstore.Store
 	caller Caller
+	log    *slog.Logger
 	// known holds the entries of the last successful read of the registrations,
 	// which are queried during an outage.
 	known atomic.Pointer[[]api.Entry]
 }
 
 // NewFleet returns a Fleet of the entries registered in an object store.
-func NewFleet(store objectstore.Store, caller Caller) Fleet {
-	return &polledFleet{store: store, caller: caller}
+func NewFleet(store objectstore.Store, caller Caller, log *slog.Logger) Fleet {
+	return &polledFleet{store: store, caller: caller, log: log}
 }
 
 // Entries implements Fleet.
@@ -72,7 +74,7 @@
 
 // registrations reads the registrations, sorted by id, and stores them in known.
 func (f *polledFleet) registrations(ctx context.Context) ([]membership.Registration, error) {
-	list, err := membership.List(ctx, f.store)
+	list, err := membership.List(ctx, f.store, f.log)
 	if err != nil {
 		return nil, eris.Wrap(ErrStore, err.Error())
 	}
--- a/pkg/membership/registry.go
+++ b/pkg/membership/registry.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -53,21 +54,31 @@
 	WriteID string `json:"write_id"`
 }
 
-// List reads all registrations, sorted by id.
-func List(ctx context.Context, store objectstore.Store) ([]Registration, error) {
+// List reads all registrations, sorted by id. Those that can't be decoded are logged and
+// left out.
+func List(ctx context.Context, store objectstore.Store, log *slog.Logger) ([]Registration, error) {
 	objects, err := store.List(ctx, Prefix)
 	if err != nil {
 		return nil, eris.Wrap(ErrRegistration, err.Error())
 	}
 	out := make([]Registration, 0, len(objects))
 	for _, o := range objects {
-		if r, err := decode(o); err == nil {
+		if r, ok := decodeOrLog(o, log); ok {
 			out = append(out, r)
 		}
 	}
 	return out, nil
 }
 
+// decodeOrLog decodes a registration, or logs why that failed.
+func decodeOrLog(o objectstore.Object, log *slog.Logger) (Registration, bool) {
+	r, err := decode(o)
+	if err != nil {
+		log.Warn("ignoring invalid registration", "key", o.Key, "version", o.Version, "error", err.Error())
+	}
+	return r, err == nil
+}
+
 func decode(o objectstore.Object) (Registration, error) {
 	var r Registration
 	if err := json.Unmarshal(o.Value, &r); err != nil {
@@ -232,7 +243,7 @@
 		if o.Deleted {
 			continue
 		}
-		if reg, err := decode(o); err == nil {
+		if reg, ok := decodeOrLog(o, r.service.Log); ok {
 			notes = append(notes, Note{Member: reg.Member})
 		}
 	}
--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -250,10 +250,27 @@
 		g.Expect(r.Register(ctx)).To(Succeed())
 		g.Expect(s.Self().Incarnation).To(BeEquivalentTo(2))
 		g.Expect(r.Deregister(ctx)).To(Succeed())
-		list, err := List(ctx, store)
+		list, err := List(ctx, store, s.Log)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(list).To(HaveLen(5))
 		cancel()
 		running.Wait()
 	})
 }
+
+// Guards against a member that nobody sees and of which no log tells, as its registration
+// can't be decoded.
+func TestList_LogsRegistrationsThatItLeavesOut(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	store := memstore.New()
+	for key, value := range map[string]string{"a": `{"id":"a"}`, "odd": `nonsense`} {
+		_, err := store.Create(ctx, Prefix+key, []byte(value))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	var out bytes.Buffer
+	list, err := List(ctx, store, slog.New(slog.NewTextHandler(&out, nil)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list).To(HaveLen(1))
+	g.Expect(out.String()).To(And(ContainSubstring("ignoring invalid registration"), ContainSubstring(Prefix+"odd")))
+}
