--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	scripts/measure.sh
 
 # Runs the property tests with another seed and more steps: make soak SEED=7 STEPS=20000
-SOAK ?= ./pkg/entry ./pkg/ledger ./pkg/revision ./pkg/lease ./pkg/membership ./pkg/admin ./pkg/admit ./pkg/place ./pkg/retry ./pkg/controller ./pkg/capacity ./pkg/relay
+SOAK ?= ./pkg/entry ./pkg/ledger ./pkg/revision ./pkg/lease ./pkg/membership ./pkg/admin ./pkg/admit ./pkg/place ./pkg/retry ./pkg/controller ./pkg/capacity ./pkg/relay ./pkg/ratelimit ./pkg/allowance
 soak:
 	SEED=$(SEED) STEPS=$(STEPS) $(GO) test -timeout 0 -count=1 $(SOAK)
 
--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -231,6 +231,30 @@
 	}
 }
 
+// Guards against a process that reads what endpoints announce, but doesn't tell its peers,
+// or whose scheduler doesn't keep to it.
+func TestProcess_SharesAnnouncedRateLimits(t *testing.T) {
+	s := newTestPlatform(t)
+	g := s.g
+	s.store.Put("config", "main", platformtest.Config(1))
+	for _, e := range s.endpoints {
+		e.SetHeader("Server-Limit", "0.1")
+	}
+	first, second := s.start(t, "gw-1"), s.start(t, "gw-2")
+	g.Eventually(first.status("/v1/"), waitTimeout).Should(Equal(200))
+	g.Eventually(first.status("/v1/"), waitTimeout).Should(Equal(503), "once both endpoints have announced the limit")
+	g.Eventually(second.status("/v1/"), waitTimeout).Should(Equal(503), "which it was told")
+	g.Eventually(second.rateLimits.Active, waitTimeout).Should(Equal(2))
+	metrics, err := http.Get("http://" + second.cfg.MetricsListen + "/metrics")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer metrics.Body.Close()
+	text, err := io.ReadAll(metrics.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(text)).To(ContainSubstring("medlarsill_endpoint_rate_limits 2"))
+	first.stop(g)
+	second.stop(g)
+}
+
 func TestProcess_KeepsServingDuringStoreOutage(t *testing.T) {
 	s := newTestPlatform(t)
 	g := s.g
