--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -238,7 +238,7 @@
 	g := s.g
 	s.store.Put("config", "main", platformtest.Config(1))
 	for _, e := range s.endpoints {
-		e.SetHeader("Server-Limit", "0.1")
+		e.AnnounceRateLimit("0.1")
 	}
 	first, second := s.start(t, "gw-1"), s.start(t, "gw-2")
 	g.Eventually(first.status("/v1/"), waitTimeout).Should(Equal(200))
