--- a/pkg/report/table.go
+++ b/pkg/report/table.go
@@ -82,13 +82,22 @@
 // Seeds returns the number of runs.
 func (g *Group) Seeds() int { return len(g.values[ModelCost]) }
 
+// ErrColumns means that a file lacks the header row or one of its columns.
+var ErrColumns = eris.New("report: missing columns")
+
 // ReadGroups reads the rows written by CSVWriter, grouped by profile, scenario
 // and policy.
 func ReadGroups(r io.Reader) ([]*Group, error) {
 	rows, err := csv.NewReader(r).ReadAll()
-	if err != nil || len(rows) == 0 {
+	if err != nil {
 		return nil, eris.Wrap(err, "report: read CSV rows")
 	}
+	if len(rows) == 0 {
+		return nil, eris.Wrap(ErrColumns, "empty file")
+	}
+	if err := checkHeader(rows[0]); err != nil {
+		return nil, err
+	}
 	var out []*Group
 	for _, row := range rows[1:] {
 		if err := addRow(&out, rows[0], row); err != nil {
@@ -101,6 +110,20 @@
 	return out, nil
 }
 
+// checkHeader checks that a header row names all columns that addRow reads.
+func checkHeader(header []string) error {
+	names := []string{"profile", "scenario", "policy"}
+	for _, c := range columns {
+		names = append(names, string(c.measure))
+	}
+	for _, name := range names {
+		if !slices.Contains(header, name) {
+			return eris.Wrapf(ErrColumns, "column %s", name)
+		}
+	}
+	return nil
+}
+
 func addRow(out *[]*Group, header, row []string) error {
 	field := func(name string) string { return row[slices.Index(header, name)] }
 	g := findGroup(*out, field("profile"), field("scenario"), field("policy"))
