admit: count callers that leave the queue apart from refused ones

What the caller gets stays the same: a refusal that says truly that it did not run. TestFair_CountsCallersThatLeaveTheQueueApart failed before.

--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -19,6 +19,8 @@
 type Refusal struct {
 	RetryAfter time.Duration
 	Reason     string
+	// callerGone is true if the context of the request ended while it was queued.
+	callerGone bool
 }
 
 // Error implements error.
--- a/pkg/admit/fair.go
+++ b/pkg/admit/fair.go
@@ -89,7 +89,7 @@
 	case <-ctx.Done():
 	}
 	if s.cancel(f.now(), t) {
-		return &Refusal{RetryAfter: minRetryAfter, Reason: "the caller has gone"}
+		return &Refusal{RetryAfter: minRetryAfter, Reason: "the caller has gone", callerGone: true}
 	}
 	return t.refusal
 }
--- a/pkg/admit/fair_test.go
+++ b/pkg/admit/fair_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"pgregory.net/rapid"
 
 	"github.com/medlarsill/medlarsill/pkg/cloud"
@@ -208,3 +210,21 @@
 		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) { benchAdmit(b, services, 5) })
 	}
 }
+
+// Guards against callers that leave the queue and are counted as refused.
+func TestFair_CountsCallersThatLeaveTheQueueApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFair(1, 0)
+		f.Metrics = NewMetrics(prometheus.NewRegistry())
+		release, err := f.Admit(context.Background(), fairRequest("w", 5, time.Minute))
+		g.Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err = f.Admit(ctx, fairRequest("w", 5, time.Minute))
+		g.Expect(err).To(MatchError(ErrOverLimit), "a caller that is still there learns that the request did not run")
+		g.Expect(testutil.ToFloat64(f.Metrics.requests.WithLabelValues("s", "caller_gone"))).To(BeEquivalentTo(1))
+		g.Expect(testutil.ToFloat64(f.Metrics.requests.WithLabelValues("s", "refused"))).To(BeZero())
+		release()
+	})
+}
--- a/pkg/admit/metrics.go
+++ b/pkg/admit/metrics.go
@@ -42,7 +42,7 @@
 	case err == nil:
 		m.requests.WithLabelValues(service, "admitted").Inc()
 		m.wait.WithLabelValues(service).Observe(waited.Seconds())
-	case errors.As(err, &refusal):
+	case errors.As(err, &refusal) && !refusal.callerGone:
 		m.requests.WithLabelValues(service, "refused").Inc()
 	default:
 		m.requests.WithLabelValues(service, "caller_gone").Inc()
