Rate limits: no overflow with very high limits

A limit of 1e19 requests a second and more made the number of instances that share it overflow, so that one alone used it. Found while the code was read again. TestLimits_ExtremeRates failed before; lower limits are shared as before.

--- a/pkg/ratelimit/limit.go
+++ b/pkg/ratelimit/limit.go
@@ -108,7 +108,7 @@
 func (l *limit) setShare(members int, settled bool, now time.Time) {
 	l.refill(now)
 	rate := l.rate(now)
-	holders := min(max(1, int(holdersPerRate*rate)), max(1, members))
+	holders := max(1, int(min(holdersPerRate*rate, float64(members))))
 	l.share = 0
 	if settled && l.rank < holders {
 		l.share = rate / float64(holders)
--- a/pkg/ratelimit/limits_test.go
+++ b/pkg/ratelimit/limits_test.go
@@ -35,3 +35,26 @@
 		g.Expect(out.String()).To(ContainSubstring(line))
 	}
 }
+
+// Guards against limits that are so high that a number overflows, or so low that no
+// instance may ever use the endpoint.
+func TestLimits_ExtremeRates(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		perSecond float64
+		share     float64
+	}{{1e300, 5e299}, {1e19, 5e18}, {0, minPerSecond}, {1e-300, minPerSecond}} {
+		now := time.Unix(1000, 0)
+		l := newLimits(&now) // of two members
+		k := endpoints.Key{ID: "i-1", Born: 1}
+		l.Observe(k, now, Announcement{Limited: true, PerSecond: c.perSecond})
+		limit, _ := l.find(k)
+		limit.rank = 0
+		limit.setShare(2, true, now)
+		g.Expect(limit.share).To(BeNumerically("~", c.share, c.share*1e-9), "%v", c.perSecond)
+		now = now.Add(20 * time.Second)
+		limit.refill(now)
+		g.Expect(limit.tokens).To(BeNumerically(">=", 1))
+		g.Expect(l.Wait(k)).To(BeZero())
+	}
+}
