--- a/pkg/load/summary.go
+++ b/pkg/load/summary.go
@@ -207,7 +207,7 @@
 			continue
 		}
 		s.ModelCost += serviceCost.Cost
-		hours := s.Work.Work.WorkSeconds * r.Speed / time.Hour.Seconds()
+		hours := s.Work.Work.ServiceSeconds[svc.Name] * r.Speed / time.Hour.Seconds()
 		s.LowerBound += hours * cheapestMixPrice(r.Document, svc.Class, 1)
 		s.PresetBound += hours * cheapestMixPrice(r.Document, svc.Class, r.reclaimableShare(svc.Name))
 	}
--- a/pkg/standin/modelserver/server.go
+++ b/pkg/standin/modelserver/server.go
@@ -25,6 +25,8 @@
 
 // Config sets the speed and limits of an engine.
 type Config struct {
+	// Service is the engine's service; its work is recorded under that name.
+	Service string
 	// DataCentre is the data centre of the engine; it is recorded with each attempt.
 	DataCentre string
 	// Models lists the models loaded at the start; empty means all. Other
--- a/pkg/standin/modelserver/stream.go
+++ b/pkg/standin/modelserver/stream.go
@@ -51,7 +51,7 @@
 		}
 		st.server.attempts.setGenerated(st.req.ID, i+1)
 		st.server.cfg.Stats.recordProgress(st.req.ID, st.promptTokens+i+1)
-		st.server.cfg.Stats.recordDecoded(1, st.server.fullBatchTokenTime())
+		st.server.cfg.Stats.recordDecoded(st.server.cfg.Service, 1, st.server.fullBatchTokenTime())
 		if !st.canSend(ctx) || st.writer.send(st.token(i)) != nil {
 			return
 		}
@@ -72,7 +72,7 @@
 	st.cachedTokens = s.cachedTokens(st.req, st.spans)
 	computed := st.promptTokens + len(st.req.Generated) - st.cachedTokens
 	prefillTime := s.cfg.PrefillPerToken * durationFactor(computed)
-	s.cfg.Stats.recordPrefill(st.spans, min(st.cachedTokens, st.promptTokens), computed, prefillTime)
+	s.cfg.Stats.recordPrefill(s.cfg.Service, st.spans, min(st.cachedTokens, st.promptTokens), computed, prefillTime)
 	if !sleep.For(ctx, prefillTime) {
 		return false
 	}
--- a/pkg/standin/modelserver/workstats.go
+++ b/pkg/standin/modelserver/workstats.go
@@ -1,6 +1,7 @@
 package modelserver
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -28,6 +29,8 @@
 	// WorkSeconds is the minimum engine time for the work: the prefill time, and
 	// the decoding time in a full batch.
 	WorkSeconds float64 `json:"work_seconds"`
+	// ServiceSeconds is that time by service.
+	ServiceSeconds map[string]float64 `json:"service_seconds"`
 	// AfterNotice counts requests that an endpoint received after its reclaim
 	// notice; AfterNoticeMaxMS is the longest time after a notice.
 	AfterNotice      int   `json:"after_notice"`
@@ -45,6 +48,10 @@
 	t.RepeatedTokens -= b.RepeatedTokens
 	t.TransferredTokens -= b.TransferredTokens
 	t.WorkSeconds -= b.WorkSeconds
+	t.ServiceSeconds = maps.Clone(t.ServiceSeconds)
+	for service, seconds := range b.ServiceSeconds {
+		t.ServiceSeconds[service] -= seconds
+	}
 	t.AfterNotice -= b.AfterNotice
 	return t
 }
@@ -66,14 +73,22 @@
 
 // NewWorkStats returns empty statistics.
 func NewWorkStats() *WorkStats {
-	return &WorkStats{computedTokens: make(map[string]int), dataCentres: make(map[string][]string), computedPrefixes: make(map[uint64]struct{})}
+	return &WorkStats{computedTokens: make(map[string]int), dataCentres: make(map[string][]string), computedPrefixes: make(map[uint64]struct{}), totals: Totals{ServiceSeconds: make(map[string]float64)}}
 }
 
 // Totals returns the totals so far.
 func (w *WorkStats) Totals() Totals {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.totals
+	totals := w.totals
+	totals.ServiceSeconds = maps.Clone(w.totals.ServiceSeconds)
+	return totals
+}
+
+// addWork adds engine time for the work of a service. The caller must hold mu.
+func (w *WorkStats) addWork(service string, seconds float64) {
+	w.totals.WorkSeconds += seconds
+	w.totals.ServiceSeconds[service] += seconds
 }
 
 // requestOf returns the request id of an attempt id, which ends in "/" and a number.
@@ -115,15 +130,15 @@
 	w.computedTokens[id] = max(w.computedTokens[id], tokens)
 }
 
-// recordPrefill records a prefill: the spans of the prompt, the number of
+// recordPrefill records a prefill of a service's engine: the spans of the prompt, the number of
 // leading prompt tokens that were cached, the number of tokens that were
 // computed (prompt and generated text), and the time it took.
-func (w *WorkStats) recordPrefill(list []span, cachedTokens, computed int, took time.Duration) {
+func (w *WorkStats) recordPrefill(service string, list []span, cachedTokens, computed int, took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.totals.PrefillTokens += computed
 	w.totals.CachedTokens += cachedTokens
-	w.totals.WorkSeconds += took.Seconds()
+	w.addWork(service, took.Seconds())
 	end := 0
 	for _, s := range list {
 		end += s.Tokens
@@ -135,12 +150,12 @@
 	}
 }
 
-// recordDecoded records generated tokens, each taking the given engine time.
-func (w *WorkStats) recordDecoded(tokens int, perToken time.Duration) {
+// recordDecoded records tokens that a service's engine generated, each taking the given engine time.
+func (w *WorkStats) recordDecoded(service string, tokens int, perToken time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.totals.DecodedTokens += tokens
-	w.totals.WorkSeconds += float64(tokens) * perToken.Seconds()
+	w.addWork(service, float64(tokens)*perToken.Seconds())
 }
 
 func (w *WorkStats) recordRecomputed(tokens int) {
--- a/pkg/standin/standin.go
+++ b/pkg/standin/standin.go
@@ -93,7 +93,7 @@
 	}
 	o := p.options
 	cfg := modelserver.Config{
-		DataCentre: r.DataCentre, Models: r.Models, BatchLimit: r.BatchLimit, TokenInterval: p.realTime(o.TokenInterval), BatchSlowdown: o.BatchSlowdown,
+		Service: r.Service, DataCentre: r.DataCentre, Models: r.Models, BatchLimit: r.BatchLimit, TokenInterval: p.realTime(o.TokenInterval), BatchSlowdown: o.BatchSlowdown,
 		PrefillPerToken: p.realTime(o.PrefillPerToken), TransferPerToken: p.realTime(o.TransferPerToken),
 		CacheBudget: o.CacheBudget, LoadLag: p.realTime(o.LoadLag), EventLag: p.realTime(o.EventLag), EventGap: o.EventGap,
 		Weights: p.Weights, Stats: p.Stats,
