--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -34,8 +34,6 @@
 	Workspace *config.Workspace
 	Service   *config.Service
 	Deadline  time.Time
-	// Tokens is an estimate of the work in tokens.
-	Tokens int
 	// Priority orders waiting requests, from 0 (lowest) to 9: lower priorities wait behind
 	// all higher ones.
 	Priority int
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -315,7 +315,6 @@
 		Deadline:     r.job.Deadline,
 		Exclude:      r.exclude,
 		Preset:       preset,
-		Priority:     r.job.Priority,
 	}, nil
 }
 
--- a/pkg/entry/flights.go
+++ b/pkg/entry/flights.go
@@ -34,7 +34,7 @@
 	if errors.Is(err, flight.ErrDuplicate) {
 		return s.checkRepeated(old, old.Attach(s.Now), &job)
 	}
-	release, err := s.Admitter.Admit(ctx, admit.Request{Workspace: w, Service: svc, Deadline: job.Deadline, Tokens: job.MaxTokens, Priority: job.Priority, Bytes: jobBytes(&job)})
+	release, err := s.Admitter.Admit(ctx, admit.Request{Workspace: w, Service: svc, Deadline: job.Deadline, Priority: job.Priority, Bytes: jobBytes(&job)})
 	if err != nil {
 		f.Log.Fail(err)
 		s.Flights.Remove(f)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -242,7 +242,7 @@
 	request := place.Request{
 		Service: call.Service.Name, Workspace: w.Name, Allowed: env.AllowedDataCentres(w),
 		Deadline: call.Deadline, NonIdempotent: !idempotent, Exclude: exclude,
-		Preset: preset, Priority: call.Service.Priority,
+		Preset: preset,
 	}
 	d, err := f.Placer.Place(f.Fleet.Snapshot(), request)
 	switch {
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -238,19 +238,6 @@
 	s.update(func(m *Machine) { m.Merge(notes) })
 }
 
-// Join exchanges member tables with the process at addr, so that a process can
-// find its peers while the object store is down.
-func (s *Service) Join(ctx context.Context, addr string) error {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	var answer Table
-	if err := s.Caller.CallAddr(ctx, addr, methodExchange, s.table(), &answer); err != nil {
-		return err
-	}
-	s.Merge(answer.Notes)
-	return nil
-}
-
 // Leave announces the planned stop of this process to its peers.
 func (s *Service) Leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -46,8 +46,6 @@
 	Exclude []string
 	// Preset holds the score weights; if it is nil, all weights are 1.
 	Preset *config.Preset
-	// Priority is the priority of the request; placement does not use it.
-	Priority int
 }
 
 // Decision is the result of placing an attempt.
--- a/pkg/revision/peercalls.go
+++ b/pkg/revision/peercalls.go
@@ -33,18 +33,8 @@
 	Answer   Answer
 }
 
-// Push sends a stored configuration to peers, and returns the ids of those that
-// aren't known to have it afterwards.
-func Push(ctx context.Context, caller Caller, peers []peer.Info, env *config.Envelope) (missing []string) {
-	for _, r := range PushAll(ctx, caller, peers, env) {
-		if !r.Answered || r.Answer.Revision < env.Revision {
-			missing = append(missing, r.Peer.ID)
-		}
-	}
-	return missing
-}
-
-// PushAll is like Push but returns each peer's reply, in the order of the peers.
+// PushAll sends a stored configuration to peers and returns their replies, in the order
+// of the peers.
 func PushAll(ctx context.Context, caller Caller, peers []peer.Info, env *config.Envelope) []Reply {
 	value, err := json.Marshal(env)
 	if err != nil {
