--- a/pkg/controller/actions.go
+++ b/pkg/controller/actions.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/medlarsill/medlarsill/pkg/capacity"
@@ -61,7 +62,10 @@
 // repeat orders that had no effect.
 func (c *Controller) order(ctx context.Context, env *config.Envelope, a capacity.Action) error {
 	svc, ok := env.Document.ServiceByName(a.Service)
-	if !ok || !svc.ChecksFencing && c.Now().Before(c.ordersFrom) {
+	if !ok {
+		return eris.Wrap(ErrUnknownService, a.Service)
+	}
+	if !svc.ChecksFencing && c.Now().Before(c.ordersFrom) {
 		return ErrNotHolder
 	}
 	a.Order.Fence = c.fence
--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -22,6 +22,8 @@
 var (
 	// ErrNotHolder means that this process is not certain to hold the duty.
 	ErrNotHolder = eris.New("controller: not the holder of the duty")
+	// ErrUnknownService means that an action names a service that the configuration lacks.
+	ErrUnknownService = eris.New("controller: unknown service")
 	// ErrNotStored means that the state could not be read or written, so no action
 	// was taken.
 	ErrNotStored = eris.New("controller: decision not stored")
