upstream: idle connections carry no read deadline

A connection went back to the pool with the read deadline of its last request, and once that had passed it looked broken and was opened anew. Each new connection is paid for.

TestPool_ReusesConnectionAfterItsReadDeadline failed before.

--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -122,6 +122,11 @@
 		c.Close()
 		return
 	}
+	// A deadline that passes would make the connection look broken.
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		c.Close()
+		return
+	}
 	c.idleSince = p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -166,6 +166,22 @@
 	}
 }
 
+// Guards against connections that are opened anew since the read deadline of a former
+// request has passed while they were idle.
+func TestPool_ReusesConnectionAfterItsReadDeadline(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(int64, net.Conn) bool { return true })
+	p := newPool(time.Now)
+	c, err := p.Get(context.Background(), s.addr())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.SetReadDeadline(time.Now().Add(-time.Second))).To(Succeed())
+	p.Put(s.addr(), c, true, idleLimit)
+	again, err := p.Get(context.Background(), s.addr())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again).To(BeIdenticalTo(c))
+	again.Close()
+}
+
 func TestConn_SkipsResponseToAnotherRequest(t *testing.T) {
 	g := NewWithT(t)
 	s := serve(t, func(n int64, c net.Conn) bool {
