Test rate limits when callers come back after a pause

Change: 100 instances, callers that pause for 12 and 38 s and come back at once, five instances cut off meanwhile. No code but the test changed.

--- a/pkg/ratelimit/fleet_test.go
+++ b/pkg/ratelimit/fleet_test.go
@@ -71,8 +71,9 @@
 	registered map[string]bool
 	killed     []*instance
 	perSecond  float64
-	// unlimited is true while the endpoint announces no limit.
-	unlimited bool
+	// unlimited is true while the endpoint announces no limit, and idle while there are no
+	// callers.
+	unlimited, idle bool
 	// arrivals holds the times at which requests arrived that the bound counts.
 	arrivals []time.Time
 	all      int
@@ -221,6 +222,9 @@
 // send sends a request of an instance if its share of the limit permits it. One that knows
 // no limit sends four a second.
 func (s *simulation) send(i *instance) {
+	if s.idle {
+		return
+	}
 	if _, known := i.limits.find(limited); !known && s.random.IntN(int(250*time.Millisecond/step)) > 0 {
 		return
 	}
@@ -437,3 +441,32 @@
 	s.run(6 * time.Second)
 	g.Expect(s.mostInWindow(after)).To(BeNumerically("<=", s.allowed()))
 }
+
+// Guards against callers that come back after a pause, when all instances have saved up
+// requests. In the longer pause some are cut off, removed and replaced meanwhile.
+func TestLimits_HoldWhenDemandResumes(t *testing.T) {
+	for _, perSecond := range []float64{2, 10, 40} {
+		for _, pause := range []time.Duration{12 * time.Second, 38 * time.Second} {
+			t.Run(fmt.Sprintf("%v a second after %v", perSecond, pause), func(t *testing.T) {
+				g := NewWithT(t)
+				s := newSimulation(100, perSecond, 1)
+				s.run(8 * time.Second)
+				s.idle = true
+				s.setCut(5, true)
+				s.run(pause)
+				s.setCut(5, false)
+				s.idle = false
+				after := s.now
+				s.run(8 * time.Second)
+				g.Expect(s.mostInWindow(after)).To(BeNumerically("<=", s.allowed()))
+			})
+		}
+	}
+}
+
+// setCut cuts off the first instances, or connects them again.
+func (s *simulation) setCut(count int, cut bool) {
+	for _, i := range s.instances[:count] {
+		i.cut = cut
+	}
+}
