--- a/pkg/objectstore/counted/counted.go
+++ b/pkg/objectstore/counted/counted.go
@@ -1,5 +1,5 @@
 // Package counted counts the calls to an object store by kind of object, operation and
-// outcome.
+// outcome, and the bytes that were read.
 package counted
 
 import (
@@ -16,6 +16,8 @@
 type Store struct {
 	inner objectstore.Store
 	calls *prometheus.CounterVec
+	// readBytes counts the bytes of the values that were read, by kind of object.
+	readBytes *prometheus.CounterVec
 }
 
 var _ objectstore.Store = (*Store)(nil)
@@ -24,8 +26,10 @@
 func New(inner objectstore.Store, reg prometheus.Registerer) *Store {
 	s := &Store{inner: inner, calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "medlarsill_store_calls_total", Help: "Calls to the object store, by kind of object, operation and outcome.",
-	}, []string{"kind", "operation", "outcome"})}
-	reg.MustRegister(s.calls)
+	}, []string{"kind", "operation", "outcome"}), readBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "medlarsill_store_read_bytes_total", Help: "Bytes of the values that were read from the object store, by kind of object.",
+	}, []string{"kind"})}
+	reg.MustRegister(s.calls, s.readBytes)
 	return s
 }
 
@@ -39,10 +43,24 @@
 	{objectstore.ErrUnavailable, "unavailable"}, {objectstore.ErrUnknown, "unknown"},
 }
 
-// count counts a call. The kind of object is the key up to the first slash.
+// count counts a call.
 func (s *Store) count(operation, key string, err error) {
+	s.calls.WithLabelValues(kindOf(key), operation, outcome(err)).Inc()
+}
+
+// countBytes counts the values that a call has read.
+func (s *Store) countBytes(key string, objects ...objectstore.Object) {
+	size := 0
+	for _, o := range objects {
+		size += len(o.Value)
+	}
+	s.readBytes.WithLabelValues(kindOf(key)).Add(float64(size))
+}
+
+// kindOf returns the kind of object of a key: the part up to the first slash.
+func kindOf(key string) string {
 	kind, _, _ := strings.Cut(key, "/")
-	s.calls.WithLabelValues(kind, operation, outcome(err)).Inc()
+	return kind
 }
 
 func outcome(err error) string {
@@ -61,6 +79,7 @@
 func (s *Store) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	o, err := s.inner.Get(ctx, key)
 	s.count("get", key, err)
+	s.countBytes(key, o)
 	return o, err
 }
 
@@ -89,6 +108,7 @@
 func (s *Store) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
 	out, err := s.inner.List(ctx, prefix)
 	s.count("list", prefix, err)
+	s.countBytes(prefix, out...)
 	return out, err
 }
 
@@ -96,5 +116,6 @@
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (objectstore.Changes, error) {
 	out, err := s.inner.Watch(ctx, prefix, after)
 	s.count("watch", prefix, err)
+	s.countBytes(prefix, out.Objects...)
 	return out, err
 }
--- a/pkg/objectstore/counted/counted_test.go
+++ b/pkg/objectstore/counted/counted_test.go
@@ -33,4 +33,5 @@
 	g.Expect(count("list", "ok")).To(Equal(1.0))
 	g.Expect(count("watch", "ok")).To(Equal(1.0))
 	g.Expect(count("delete", "conflict")).To(Equal(1.0))
+	g.Expect(testutil.ToFloat64(s.readBytes.WithLabelValues("leases"))).To(Equal(2.0), "one byte each of the list and the watch")
 }
