Store client: limit calls by their progress, not by their duration

Cause: a page of a list was given up after 0.6 s and a watch 0.4 s after its hold time, whatever the size. A document of 1 MB takes 0.84 s over 10 Mbit/s; a relay's watch that was answered late in its hold time failed, the list after it could never succeed, and each failure was followed by the next list. Change: a call fails if its response doesn't begin in time, or brings less than 4 KB in 0.6 s (pkg/progress); bodies of requests count as progress too.

--- /dev/null
+++ b/pkg/progress/progress.go
@@ -0,0 +1,77 @@
+// Package progress limits HTTP calls by their progress instead of their whole duration,
+// which depends on the size of what is transferred.
+package progress
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// minBytes is the number of bytes that count as progress. A transfer that brings fewer
+// within its limit has stalled.
+const minBytes = 4 << 10
+
+// ErrStalled is the cause of a call's cancelled context.
+var ErrStalled = eris.New("progress: transfer stalled")
+
+// Guard cancels a call that makes no progress within a limit. It is used by one goroutine
+// at a time: by the sender of the request until the response begins, then by its reader.
+type Guard struct {
+	timer  *time.Timer
+	cancel context.CancelCauseFunc
+	limit  time.Duration
+	// pending is the number of bytes since the timer was last reset.
+	pending int
+}
+
+// Start returns a guard and the context that it cancels. The call must begin to make
+// progress within limit. The caller must call Stop.
+func Start(ctx context.Context, limit time.Duration) (context.Context, *Guard) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	g := &Guard{cancel: cancel, limit: limit}
+	g.timer = time.AfterFunc(limit, func() { cancel(ErrStalled) })
+	return ctx, g
+}
+
+// Next begins the next part of the call, which must make progress within limit.
+func (g *Guard) Next(limit time.Duration) {
+	g.limit = limit
+	g.reset()
+}
+
+// Stop ends the guard and its context.
+func (g *Guard) Stop() {
+	g.timer.Stop()
+	g.cancel(nil)
+}
+
+// Reader returns a reader whose bytes count as the call's progress.
+func (g *Guard) Reader(r io.Reader) io.Reader { return &reader{r: r, guard: g} }
+
+func (g *Guard) reset() {
+	g.pending = 0
+	g.timer.Reset(g.limit)
+}
+
+// add counts transferred bytes.
+func (g *Guard) add(n int) {
+	g.pending += n
+	if g.pending >= minBytes {
+		g.reset()
+	}
+}
+
+type reader struct {
+	r     io.Reader
+	guard *Guard
+}
+
+// Read implements io.Reader.
+func (r *reader) Read(b []byte) (int, error) {
+	n, err := r.r.Read(b)
+	r.guard.add(n)
+	return n, err
+}
--- /dev/null
+++ b/pkg/progress/progress_test.go
@@ -0,0 +1,70 @@
+package progress
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// trickle is a reader that returns one chunk after each pause.
+type trickle struct {
+	chunk  int
+	pause  time.Duration
+	chunks int
+}
+
+func (t *trickle) Read(b []byte) (int, error) {
+	if t.chunks == 0 {
+		return 0, io.EOF
+	}
+	t.chunks--
+	time.Sleep(t.pause)
+	return min(t.chunk, len(b)), nil
+}
+
+// Guards against transfers that are given up since they are long, and against those that
+// are awaited for good though nearly nothing comes.
+func TestGuard_CancelsOnlyWithoutProgress(t *testing.T) {
+	const limit = 600 * time.Millisecond
+	for name, c := range map[string]struct {
+		source trickle
+		want   error
+	}{
+		"long transfer":     {source: trickle{chunk: minBytes, pause: 500 * time.Millisecond, chunks: 100}},
+		"pause":             {source: trickle{chunk: minBytes, pause: 700 * time.Millisecond, chunks: 1}, want: ErrStalled},
+		"too little a time": {source: trickle{chunk: 1, pause: 100 * time.Millisecond, chunks: 10}, want: ErrStalled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, guard := Start(context.Background(), limit)
+				_, _ = io.Copy(io.Discard, guard.Reader(&c.source))
+				if c.want == nil {
+					g.Expect(context.Cause(ctx)).NotTo(HaveOccurred())
+				} else {
+					g.Expect(context.Cause(ctx)).To(MatchError(c.want))
+				}
+				guard.Stop()
+				g.Expect(ctx.Err()).To(HaveOccurred())
+			})
+		})
+	}
+}
+
+func TestGuard_NextBeginsAnotherLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, guard := Start(context.Background(), time.Second)
+		defer guard.Stop()
+		time.Sleep(900 * time.Millisecond)
+		guard.Next(3 * time.Second)
+		time.Sleep(2900 * time.Millisecond)
+		g.Expect(ctx.Err()).NotTo(HaveOccurred())
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(context.Cause(ctx)).To(MatchError(ErrStalled))
+	})
+}
