--- a/pkg/objectstore/httpstore/client.go
+++ b/pkg/objectstore/httpstore/client.go
@@ -16,9 +16,11 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
+	"github.com/medlarsill/medlarsill/pkg/progress"
 )
 
-// DefaultTimeout is the default time limit of every call except a watch.
+// DefaultTimeout is the default time limit of every call except a watch until its response
+// begins, and of every response that has begun to make progress.
 const DefaultTimeout = 2 * time.Second
 
 // WatchTimeout is the maximum time that the server holds a watch call open.
@@ -28,7 +30,8 @@
 type Client struct {
 	base string
 	http *http.Client
-	// Timeout is the time limit of every call except a watch; zero means DefaultTimeout.
+	// Timeout is the time limit of every call except a watch until its response begins; zero
+	// means DefaultTimeout.
 	Timeout time.Duration
 }
 
@@ -78,29 +81,32 @@
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (objectstore.Changes, error) {
 	var out objectstore.Changes
 	path := "/watch?prefix=" + url.QueryEscape(prefix) + "&after=" + strconv.FormatUint(after, 10)
-	ctx, cancel := context.WithTimeout(ctx, WatchTimeout+DefaultTimeout)
-	defer cancel()
-	err := c.do(ctx, http.MethodGet, path, nil, "", &out)
+	err := c.do(ctx, WatchTimeout+DefaultTimeout, http.MethodGet, path, nil, "", &out)
 	return out, objectstore.ReadError(err)
 }
 
-// call makes a request within Timeout.
+// call makes a request whose response must begin within Timeout.
 func (c *Client) call(ctx context.Context, method, path string, body []byte, ifMatch string, out any) error {
 	timeout := c.Timeout
 	if timeout == 0 {
 		timeout = DefaultTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return c.do(ctx, method, path, body, ifMatch, out)
+	return c.do(ctx, timeout, method, path, body, ifMatch, out)
 }
 
-// do makes a request and decodes the response body into out unless that is nil.
-func (c *Client) do(ctx context.Context, method, path string, body []byte, ifMatch string, out any) error {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+// do makes a request and decodes the response body into out unless that is nil. The
+// response must begin within timeout; how long the rest may take depends on its size.
+func (c *Client) do(ctx context.Context, timeout time.Duration, method, path string, body []byte, ifMatch string, out any) error {
+	ctx, guard := progress.Start(ctx, timeout)
+	defer guard.Stop()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, guard.Reader(bytes.NewReader(body)))
 	if err != nil {
 		return eris.Wrap(err, "httpstore: create request")
 	}
+	req.ContentLength = int64(len(body))
+	if len(body) == 0 {
+		req.Body = http.NoBody
+	}
 	if ifMatch != "" {
 		req.Header.Set("If-Match", ifMatch)
 	}
@@ -109,16 +115,18 @@
 		return objectstore.TransportError(err)
 	}
 	defer resp.Body.Close()
+	guard.Next(DefaultTimeout)
 	if err := statusError(resp.StatusCode); err != nil {
 		return err
 	}
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	answer := guard.Reader(resp.Body)
+	if err := json.NewDecoder(answer).Decode(out); err != nil {
 		return eris.Wrap(objectstore.ErrUnknown, err.Error())
 	}
-	_, _ = io.Copy(io.Discard, resp.Body)
+	_, _ = io.Copy(io.Discard, answer)
 	return nil
 }
 
--- a/pkg/objectstore/httpstore/httpstore_test.go
+++ b/pkg/objectstore/httpstore/httpstore_test.go
@@ -1,12 +1,19 @@
 package httpstore_test
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/labstack/echo/v5"
 	. "github.com/onsi/gomega"
@@ -76,3 +83,45 @@
 	_, err := c.Create(context.Background(), "k", nil)
 	g.Expect(err).To(MatchError(objectstore.ErrUnavailable))
 }
+
+// roundTripFunc is an http.RoundTripper.
+type roundTripFunc func(*http.Request) (*http.Response, error)
+
+// RoundTrip implements http.RoundTripper.
+func (f roundTripFunc) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// slowBody is a response body of which a part comes after each pause, until the context ends.
+type slowBody struct {
+	ctx  context.Context
+	text io.Reader
+}
+
+const (
+	slowBodyPause = 500 * time.Millisecond
+	slowBodyPart  = 64 << 10
+)
+
+// Read implements io.Reader.
+func (b slowBody) Read(p []byte) (int, error) {
+	time.Sleep(slowBodyPause)
+	if b.ctx.Err() != nil {
+		return 0, context.Cause(b.ctx)
+	}
+	return b.text.Read(p[:min(len(p), slowBodyPart)])
+}
+
+// Guards against lists that can't be read at all since they take longer than one call may.
+func TestClient_ReadsListThatTakesLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		value := strings.Repeat("x", objectstore.MaxValueBytes)
+		text, err := json.Marshal([]objectstore.Object{{Key: "a/1", Version: 1, Value: []byte(value)}})
+		g.Expect(err).NotTo(HaveOccurred())
+		c := httpstore.NewClient("http://store", &http.Client{Transport: roundTripFunc(func(r *http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bufio.NewReaderSize(slowBody{ctx: r.Context(), text: bytes.NewReader(text)}, slowBodyPart))}, nil
+		})})
+		list, err := c.List(t.Context(), "a/")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(list).To(HaveLen(1))
+	})
+}
