progress: count what is received within one large read

A read of a chunked body doesn't return before the whole buffer is full, and the decoder's buffer doubles: a response of 2 MB over 10 Mbit/s was given up as stalled after 1.44 s with 1.8 MB received.

--- a/pkg/progress/progress.go
+++ b/pkg/progress/progress.go
@@ -69,9 +69,10 @@
 	guard *Guard
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It reads little at once, since readers such as those of chunked
+// bodies don't return before a large buffer is full.
 func (r *reader) Read(b []byte) (int, error) {
-	n, err := r.r.Read(b)
+	n, err := r.r.Read(b[:min(len(b), minBytes)])
 	r.guard.add(n)
 	return n, err
 }
--- a/pkg/progress/progress_test.go
+++ b/pkg/progress/progress_test.go
@@ -68,3 +68,33 @@
 		g.Expect(context.Cause(ctx)).To(MatchError(ErrStalled))
 	})
 }
+
+// constantRate is a reader that fills each buffer, at a rate in bytes a second.
+type constantRate struct {
+	perSecond int
+	left      int
+}
+
+func (c *constantRate) Read(b []byte) (int, error) {
+	n := min(len(b), c.left)
+	if n == 0 {
+		return 0, io.EOF
+	}
+	c.left -= n
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(c.perSecond))
+	return n, nil
+}
+
+// Guards against transfers that are given up although they make progress, since the reader
+// below returns nothing until a large buffer is full.
+func TestGuard_SeesProgressWithinOneLargeRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, guard := Start(context.Background(), 600*time.Millisecond)
+		defer guard.Stop()
+		n, err := io.ReadFull(guard.Reader(&constantRate{perSecond: 100_000, left: 1 << 20}), make([]byte, 1<<20))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(n).To(Equal(1 << 20))
+		g.Expect(context.Cause(ctx)).NotTo(HaveOccurred())
+	})
+}
