sharedwatch: send large changes as deltas, and only the newest state in full

What callers would see: routes in force late at many instances when a large configuration changes several times. Cause: what doesn't fit into a datagram was read by every instance from the store at the same moment, each version in full; and relays that are receiving a large response are silent, so that all followers watch the store as well. A batch stays readable for instances of the version before, which take it as one whose changes were left out.

--- a/pkg/sharedwatch/batch.go
+++ b/pkg/sharedwatch/batch.go
@@ -33,8 +33,12 @@
 	// Objects holds the newest state of each changed key. It is encoded as Packed.
 	Objects []object `cbor:"-"`
 	Packed  []byte   `cbor:"4,keyasint,omitempty"`
-	// Omitted is true if there were changes that are too large for a datagram.
-	Omitted bool `cbor:"5,keyasint,omitempty"`
+	// Omitted is true if there were changes that are too large for a datagram. Compact then
+	// holds them in a shorter form, unless that is too large as well. It is encoded as
+	// PackedCompact.
+	Omitted       bool     `cbor:"5,keyasint,omitempty"`
+	Compact       *compact `cbor:"-"`
+	PackedCompact []byte   `cbor:"6,keyasint,omitempty"`
 }
 
 // object is a changed object in a batch.
@@ -70,18 +74,20 @@
 	return out
 }
 
-// objects returns the batch's objects as objects of the store.
-func (b *Batch) objects() []objectstore.Object {
-	out := make([]objectstore.Object, 0, len(b.Objects))
-	for _, o := range b.Objects {
-		out = append(out, objectstore.Object{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
+// changes returns the batch's changes. They are complete if known is true.
+func (b *Batch) changes() (list []change, known bool) {
+	if b.Omitted && b.Compact == nil {
+		return nil, false
 	}
-	return out
+	if b.Omitted {
+		return b.Compact.changes(), true
+	}
+	return fullChanges(b.Objects), true
 }
 
-// encode encodes a batch for the peers. Objects that don't fit into a datagram are
-// omitted.
-func encode(b Batch) ([]byte, error) {
+// encode encodes a batch for the peers. If its objects don't fit into a datagram, it holds
+// them in the compact form relative to the values that are known, or omits them.
+func encode(b Batch, known *knownValues) ([]byte, error) {
 	packed, err := pack(b.Objects)
 	if err != nil {
 		return nil, err
@@ -89,6 +95,10 @@
 	b.Packed = packed
 	if len(packed) > maxBatchBytes {
 		b.Packed, b.Omitted = nil, true
+		b.PackedCompact, err = packCompact(b.Objects, known)
+		if err != nil {
+			return nil, err
+		}
 	}
 	data, err := cbor.Marshal(b)
 	return data, eris.Wrap(err, "sharedwatch: encode batch")
@@ -99,29 +109,33 @@
 	if len(objects) == 0 {
 		return nil, nil
 	}
+	return packValue(objects)
+}
+
+// packValue encodes and compresses a value.
+func packValue(value any) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
 	if err != nil {
-		return nil, eris.Wrap(err, "sharedwatch: pack objects")
+		return nil, eris.Wrap(err, "sharedwatch: pack changes")
 	}
-	if err := cbor.NewEncoder(w).Encode(objects); err != nil {
-		return nil, eris.Wrap(err, "sharedwatch: pack objects")
+	if err := cbor.NewEncoder(w).Encode(value); err != nil {
+		return nil, eris.Wrap(err, "sharedwatch: pack changes")
 	}
 	if err := w.Close(); err != nil {
-		return nil, eris.Wrap(err, "sharedwatch: pack objects")
+		return nil, eris.Wrap(err, "sharedwatch: pack changes")
 	}
 	return out.Bytes(), nil
 }
 
-// unpack is the inverse of pack. It returns an error for more than maxObjectsBytes.
-func unpack(packed []byte) ([]object, error) {
+// unpack is the inverse of packValue. It does nothing if packed is empty, and returns an
+// error for more than maxObjectsBytes.
+func unpack(packed []byte, value any) error {
 	if len(packed) == 0 {
-		return nil, nil
+		return nil
 	}
 	r := flate.NewReader(bytes.NewReader(packed))
-	var objects []object
-	err := cbor.NewDecoder(io.LimitReader(r, maxObjectsBytes)).Decode(&objects)
-	return objects, err
+	return cbor.NewDecoder(io.LimitReader(r, maxObjectsBytes)).Decode(value)
 }
 
 func decode(data []byte) (Batch, error) {
@@ -132,10 +146,12 @@
 	if b.Prefix == "" || b.From == 0 || b.To < b.From || objectstore.History(b.From) != objectstore.History(b.To) {
 		return Batch{}, eris.Wrap(ErrBatch, "missing prefix or invalid positions")
 	}
-	objects, err := unpack(b.Packed)
-	if err != nil {
+	if err := unpack(b.Packed, &b.Objects); err != nil {
+		return Batch{}, eris.Wrap(ErrBatch, err.Error())
+	}
+	if err := unpack(b.PackedCompact, &b.Compact); err != nil {
 		return Batch{}, eris.Wrap(ErrBatch, err.Error())
 	}
-	b.Objects, b.Packed = objects, nil
+	b.Packed, b.PackedCompact = nil, nil
 	return b, nil
 }
--- a/pkg/sharedwatch/feed.go
+++ b/pkg/sharedwatch/feed.go
@@ -4,8 +4,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/medlarsill/medlarsill/pkg/objectstore"
 )
 
 const (
@@ -27,6 +25,8 @@
 	// relaysUnreachable is true while followers watch the store directly because no
 	// batches are received.
 	relaysUnreachable bool
+	// known holds the large values that this instance has received.
+	known *knownValues
 }
 
 // receivedBatch is a batch with the time of its receipt.
@@ -35,7 +35,7 @@
 	receivedAt time.Time
 }
 
-func newFeed() *feed { return &feed{changed: make(chan struct{})} }
+func newFeed() *feed { return &feed{changed: make(chan struct{}), known: newKnownValues()} }
 
 // add appends a relay's batch and wakes the waiting followers.
 func (f *feed) add(b Batch, now time.Time) {
@@ -53,9 +53,9 @@
 
 // progress holds the changes that a feed has beyond a follower's position.
 type progress struct {
-	// objects holds the changes since the follower's position, and position is the
+	// changes holds the changes since the follower's position, and position is the
 	// position after them.
-	objects  []objectstore.Object
+	changes  []change
 	position uint64
 	// gap is true if a later batch was received, but no changes that continue at
 	// position. omitted is true if the batch that continues there was received without
@@ -88,11 +88,12 @@
 		if b.From > p.position || b.To <= p.position {
 			continue
 		}
-		if b.Omitted {
+		changes, known := b.changes()
+		if !known {
 			p.omitted = true
 			continue
 		}
-		p.objects = append(p.objects, b.objects()...)
+		p.changes = append(p.changes, changes...)
 		p.position, p.omitted = b.To, false
 		return true
 	}
--- a/pkg/sharedwatch/fleet_test.go
+++ b/pkg/sharedwatch/fleet_test.go
@@ -28,6 +28,8 @@
 	// drop reports whether the next datagram is lost.
 	drop  func() bool
 	calls atomic.Int64
+	// readBytes counts the bytes of the values that were read from the store.
+	readBytes atomic.Int64
 	// isolated is true while no instance reaches its peers; batches counts the
 	// broadcast batches.
 	isolated atomic.Bool
@@ -64,6 +66,9 @@
 	ctx, cancel := context.WithTimeout(ctx, hold)
 	defer cancel()
 	c, err := h.Store.Watch(ctx, prefix, after)
+	for _, o := range c.Objects {
+		h.instance.fleet.readBytes.Add(int64(len(o.Value)))
+	}
 	if h.instance.storeHung.Load() {
 		time.Sleep(hold)
 		return objectstore.Changes{}, objectstore.ErrUnavailable
@@ -74,6 +79,13 @@
 	return c, err
 }
 
+// Get implements objectstore.Store.
+func (h heldStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
+	o, err := h.Store.Get(ctx, key)
+	h.instance.fleet.readBytes.Add(int64(len(o.Value)))
+	return o, err
+}
+
 // noLoss reports that no datagram is lost.
 func noLoss() bool { return false }
 
--- a/pkg/sharedwatch/follower.go
+++ b/pkg/sharedwatch/follower.go
@@ -60,7 +60,7 @@
 // outcome returns the result of the watch at the time now.
 func (f *follower) outcome(p progress, now time.Time) outcome {
 	switch {
-	case len(p.objects) > 0:
+	case len(p.changes) > 0:
 		return outcomeChanged
 	case p.omitted, !f.gapSince.IsZero() && !now.Before(f.gapSince.Add(gapTimeout)):
 		return outcomeIncomplete
--- a/pkg/sharedwatch/metrics.go
+++ b/pkg/sharedwatch/metrics.go
@@ -13,9 +13,11 @@
 
 	reasonIncomplete  = "incomplete"
 	reasonUnreachable = "silent"
+	reasonLarge       = "large"
 )
 
-// metrics counts the batches of the relays, and the direct watches of the followers.
+// metrics counts the batches of the relays, and the direct watches and reads of the
+// followers.
 type metrics struct {
 	batches *prometheus.CounterVec
 	direct  *prometheus.CounterVec
@@ -28,7 +30,7 @@
 			Name: "medlarsill_shared_watch_batches_total", Help: "Batches of changes that were sent to the peers, received from them, or too large to be sent, by event.",
 		}, []string{"event"}),
 		direct: factory.NewCounterVec(prometheus.CounterOpts{
-			Name: "medlarsill_shared_watch_direct_total", Help: "Watches that this follower made directly on the store, by reason.",
+			Name: "medlarsill_shared_watch_direct_total", Help: "Watches and reads that this follower made directly on the store, by reason.",
 		}, []string{"reason"}),
 	}
 }
--- a/pkg/sharedwatch/sharedwatch_test.go
+++ b/pkg/sharedwatch/sharedwatch_test.go
@@ -8,9 +8,11 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 	"pgregory.net/rapid"
 
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
+	"github.com/medlarsill/medlarsill/pkg/objectstore/memstore"
 	_ "github.com/medlarsill/medlarsill/pkg/testseed"
 )
 
@@ -142,6 +144,47 @@
 	})
 }
 
+// Guards against all instances reading a large object from the store at the same moment,
+// whenever a small part of it changes.
+func TestStore_SendsSmallChangeOfLargeObjectToFollowers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(40, noLoss)
+		defer f.shutdown()
+		f.put("large", "{0}{"+incompressible(10*maxBatchBytes))
+		time.Sleep(settleTime)
+		time.Sleep(time.Second)
+		reads := f.readBytes.Load()
+		for n := range 5 {
+			value := fmt.Sprintf("{%d}{", n+1) + incompressible(10*maxBatchBytes)
+			f.put("large", value)
+			time.Sleep(250 * time.Millisecond)
+			g.Expect(f.countWith("large", value)).To(Equal(40))
+			time.Sleep(time.Second)
+		}
+		g.Expect(f.readBytes.Load()-reads).To(BeNumerically("<", 5*(relayCount+1)*12*maxBatchBytes), "only the relays read the object")
+	})
+}
+
+// Guards against an object that goes back to an older state, since a change that was read
+// directly is followed by the batches before it.
+func TestResolve_KeepsStateThatWasReadLater(t *testing.T) {
+	g := NewWithT(t)
+	store := memstore.New()
+	s := New(Options{Store: store, Metrics: prometheus.NewRegistry()})
+	known := newKnownValues()
+	first, err := store.Create(t.Context(), "a/1", []byte("{1}{"+incompressible(largeValueBytes)))
+	g.Expect(err).NotTo(HaveOccurred())
+	second, err := store.Update(t.Context(), "a/1", []byte("{2}{"+incompressible(largeValueBytes)), first.Version)
+	g.Expect(err).NotTo(HaveOccurred())
+	read, err := s.resolve(t.Context(), known, []change{{Object: objectstore.Object{Key: "a/1", Version: first.Version}, unread: true}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read).To(Equal([]objectstore.Object{second}))
+	read, err = s.resolve(t.Context(), known, []change{{Object: first}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read).To(BeEmpty())
+}
+
 // incompressible returns text that can't be compressed to half its size.
 func incompressible(size int) string {
 	random := rand.New(rand.NewPCG(1, 1))
@@ -163,7 +206,7 @@
 		})
 	}
 	changes.Version = 100
-	data, err := encode(newBatch("servers/", 1, changes))
+	data, err := encode(newBatch("servers/", 1, changes), newKnownValues())
 	g.Expect(err).NotTo(HaveOccurred())
 	b, err := decode(data)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -195,13 +238,15 @@
 		seed := rapid.Uint64().Draw(rt, "seed")
 		loss := rapid.Float64Range(0, 0.9).Draw(rt, "loss")
 		changes := rapid.SliceOfN(rapid.IntRange(0, 3), 1, 12).Draw(rt, "changes")
+		// Large values change in a small part, so that they are sent as deltas.
+		large := rapid.SampledFrom([][]string{{""}, {incompressible(3 * maxBatchBytes)}, {"", incompressible(3 * maxBatchBytes)}}).Draw(rt, "large")
 		cutOff := rapid.SliceOfN(rapid.IntRange(0, 29), 0, 10).Draw(rt, "cuts")
 		synctest.Test(t, func(*testing.T) {
 			random := rand.New(rand.NewPCG(seed, 1))
 			f := newFleet(30, lossy(seed, loss))
 			defer f.shutdown()
 			for n, key := range changes {
-				f.put(fmt.Sprint("x", key), []string{"", fmt.Sprint(n)}[min(n%3, 1)])
+				f.put(fmt.Sprint("x", key), []string{"", fmt.Sprint(n) + large[n%len(large)]}[min(n%3, 1)])
 				if n < len(cutOff) {
 					f.instances[cutOff[n]].storeDown.Store(n%2 == 0)
 					f.instances[cutOff[n]].isolated.Store(n%4 == 1)
@@ -234,19 +279,29 @@
 	in := newBatch("a/", 3, objectstore.Changes{Version: 9, Objects: []objectstore.Object{
 		{Key: "a/1", Version: 4, Value: []byte("old")}, {Key: "a/2", Version: 5, Value: []byte("2")}, {Key: "a/1", Version: 8, Deleted: true},
 	}})
-	data, err := encode(in)
+	data, err := encode(in, newKnownValues())
 	g.Expect(err).NotTo(HaveOccurred())
 	out, err := decode(data)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(out.objects()).To(Equal([]objectstore.Object{{Key: "a/2", Version: 5, Value: []byte("2")}, {Key: "a/1", Version: 8, Deleted: true}}), "the newest state of each key")
+	g.Expect(out.Objects).To(Equal([]object{{Key: "a/2", Version: 5, Value: []byte("2")}, {Key: "a/1", Version: 8, Deleted: true}}), "the newest state of each key")
 }
 
 func FuzzDecode(f *testing.F) {
-	data, _ := encode(Batch{Prefix: "a/", From: 1, To: 2})
+	data, _ := encode(Batch{Prefix: "a/", From: 1, To: 2}, newKnownValues())
 	f.Add(data)
 	f.Add([]byte{0xff})
+	known := newKnownValues()
+	known.record([]objectstore.Object{{Key: "a/1", Version: 1, Value: []byte("{1}{" + incompressible(2*maxBatchBytes))}})
+	data, _ = encode(Batch{Prefix: "a/", From: 1, To: 2, Objects: []object{{Key: "a/1", Version: 2, Value: []byte("{2}{" + incompressible(2*maxBatchBytes))}}}, known)
+	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		b, err := decode(data)
+		if err == nil {
+			changes, _ := b.changes()
+			for _, c := range changes {
+				_, _ = applyChange(known, c)
+			}
+		}
 		if err == nil && (b.Prefix == "" || b.From == 0 || b.To < b.From) {
 			t.Fatal("decode accepted an invalid batch")
 		}
--- a/pkg/sharedwatch/store.go
+++ b/pkg/sharedwatch/store.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
+	"github.com/medlarsill/medlarsill/pkg/sleep"
 )
 
 const (
@@ -32,6 +33,10 @@
 	// broadcast at the same moment.
 	minHold = 400 * time.Millisecond
 	maxHold = time.Second
+	// A relay that takes longer than firstConfirmDelay to receive a response confirms every
+	// confirmInterval that it reaches the store.
+	firstConfirmDelay = 30 * time.Millisecond
+	confirmInterval   = 300 * time.Millisecond
 )
 
 // Options configures a Store. All fields are required.
@@ -93,16 +98,45 @@
 	if after != 0 && s.isShared() && !s.isRelay() {
 		return s.follow(ctx, prefix, after)
 	}
+	f := s.feed(prefix)
+	if after == 0 || !s.isRelay() {
+		return s.watchDirectly(ctx, f, prefix, after)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	onResponse := func() { go s.confirmWhileReceiving(ctx, prefix, after) }
+	c, err := s.Store.Watch(objectstore.WithOnResponse(ctx, onResponse), prefix, after)
+	if err != nil {
+		return c, err
+	}
+	if !c.Reset && s.isRelay() {
+		s.broadcast(newBatch(prefix, after, c), f.known)
+	}
+	f.known.record(c.Objects)
+	return c, nil
+}
+
+// watchDirectly watches the store without the relays.
+func (s *Store) watchDirectly(ctx context.Context, f *feed, prefix string, after uint64) (objectstore.Changes, error) {
 	c, err := s.Store.Watch(ctx, prefix, after)
-	if err == nil && after != 0 && !c.Reset && s.isRelay() {
-		s.broadcast(newBatch(prefix, after, c))
+	if err == nil {
+		f.known.record(c.Objects)
 	}
 	return c, err
 }
 
+// confirmWhileReceiving tells the followers that this relay reaches the store, until it has
+// received the response to its watch or the context ends.
+func (s *Store) confirmWhileReceiving(ctx context.Context, prefix string, position uint64) {
+	for pause := firstConfirmDelay; sleep.For(ctx, pause); pause = confirmInterval {
+
+		s.broadcast(Batch{Prefix: prefix, From: position, To: position}, nil)
+	}
+}
+
 // broadcast sends a batch to all peers.
-func (s *Store) broadcast(b Batch) {
-	data, err := encode(b)
+func (s *Store) broadcast(b Batch, known *knownValues) {
+	data, err := encode(b, known)
 	if err != nil {
 		s.options.Log.Error("failed to encode batch", "prefix", b.Prefix, "error", err.Error())
 		return
@@ -119,7 +153,7 @@
 		return
 	}
 	s.metrics.batches.WithLabelValues(eventReceived).Inc()
-	if b.Omitted {
+	if b.Omitted && b.Compact == nil {
 		s.metrics.batches.WithLabelValues(eventOmitted).Inc()
 	}
 	s.feed(b.Prefix).add(b, s.options.Now())
@@ -147,17 +181,19 @@
 		switch f.outcome(p, now) {
 		case outcomeChanged:
 			s.logRelayState(f.feed, prefix, false)
-			return objectstore.Changes{Objects: newest(p.objects), Version: p.position}, nil
+			objects, err := s.resolve(ctx, f.feed.known, p.changes)
+			return objectstore.Changes{Objects: objects, Version: p.position}, err
 		case outcomeUnchanged:
 			s.logRelayState(f.feed, prefix, false)
 			return objectstore.Changes{Version: p.position}, nil
 		case outcomeIncomplete:
 			s.metrics.direct.WithLabelValues(reasonIncomplete).Inc()
-			return s.Store.Watch(ctx, prefix, p.position)
+			return s.watchDirectly(ctx, f.feed, prefix, p.position)
 		case outcomeRelaysUnreachable:
+
 			s.metrics.direct.WithLabelValues(reasonUnreachable).Inc()
 			s.logRelayState(f.feed, prefix, true)
-			return s.Store.Watch(ctx, prefix, p.position)
+			return s.watchDirectly(ctx, f.feed, prefix, p.position)
 		}
 		if err := waitForChange(ctx, p.changed, f.nextCheck(p).Sub(now)); err != nil {
 			return objectstore.Changes{}, err
