--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -70,6 +70,16 @@
 	return max(1, s.Engine.EventTokens)
 }
 
+// sharedParts returns the ids of the prompt's parts that other requests may have too: all
+// but the last one.
+func (c *call) sharedParts() []string {
+	var ids []string
+	for i := range len(c.meta.Prefix) - 1 {
+		ids = append(ids, c.meta.Prefix[i].ID)
+	}
+	return ids
+}
+
 // exclude keeps further attempts of the call from using an endpoint.
 func (c *call) exclude(id string) {
 	if c.excluded == nil {
