Keep prompt parts that crash endpoints away from them

Cause: no instance related the end of an endpoint to what it had been sent. A request that broke off was sent again, and the next one with the same part was like any other. Change: pkg/poison. Requests that break off with an endpoint that has ended (it accepts no connections) are evidence against their shared parts; a request that is answered clears its parts. Instances tell each other at once. A part that accounts for four crashes, and for more than any other part of the same crashes, is refused with 503 and the time of the next probe; one instance sends a probe after 1 s, 30 s, 60 s and so on, and an answer ends it. Crashes that it accounts for count against no other part. Lists and counts are bounded. New instances hear of such parts from their peers, and from the store (poison/parts, written by the holder of the duties) if all have restarted.

--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -12,6 +12,7 @@
 
 	"github.com/medlarsill/medlarsill/pkg/actors"
 	"github.com/medlarsill/medlarsill/pkg/lease"
+	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
 	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/pkg/usage"
@@ -54,6 +55,16 @@
 	})
 }
 
+// keepQuarantine keeps the prompt parts that crash endpoints in the store, for a start of
+// all instances.
+func (p *process) keepQuarantine(ctx context.Context) error {
+	k := poison.Keeper{Guard: p.poison, Store: p.store, Log: p.log, Held: func() bool {
+		_, held := p.dutyLease.Held()
+		return held
+	}}
+	return k.Run(ctx)
+}
+
 // releaseDuties releases the lease and removes the registration at the end of a planned
 // stop, so that neither the duties nor this instance's share of the allowances is
 // blocked until they expire.
--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -10,6 +10,7 @@
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/gossip"
 	"github.com/medlarsill/medlarsill/pkg/objectstore/counted"
+	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
 	"github.com/medlarsill/medlarsill/pkg/sharedwatch"
@@ -26,6 +27,8 @@
 	// Instances may have run a little longer, as the state is stored only three times
 	// a second.
 	idleMargin = 500 * time.Millisecond
+	// maxQuarantineEntries is the largest number of quarantined parts in a message.
+	maxQuarantineEntries = 32
 	// One in speedsInterval messages includes the learned endpoint speeds.
 	speedsInterval = 5
 	// storedSource is the source name of the endpoint speeds that are read from the store.
@@ -55,7 +58,7 @@
 	ip := netip.MustParseAddr(p.cfg.IP)
 	p.node = gossip.NewNode(gossip.Options{
 		ID: p.cfg.ID, Boot: boot, Listen: netip.AddrPortFrom(ip, uint16(p.cfg.PeerPort)),
-		Fill: p.fillMessage, OnMessage: p.receive, OnChanges: p.watches.ReceiveBatch, Log: p.log, Now: time.Now,
+		Fill: p.fillMessage, OnMessage: p.receive, OnChanges: p.watches.ReceiveBatch, OnCrashes: func(data []byte) { p.poison.Receive(data) }, Log: p.log, Now: time.Now,
 	})
 	p.peerLoads = endpoints.NewPeerLoads(p.table, p.node.PeerTimeout, time.Now)
 	p.registry = &gossip.Registry{Store: p.store, Node: p.node, Log: p.log, Now: time.Now, MayRemove: func() bool {
@@ -69,6 +72,14 @@
 	return ratelimit.Membership{Self: p.cfg.ID, IDs: p.node.MemberIDs(), Settled: p.registry.Settled()}
 }
 
+// newPoisonGuard returns the guard against prompt parts that crash endpoints.
+func (p *process) newPoisonGuard() *poison.Guard {
+	return poison.New(poison.Options{
+		Ended: p.pool.Refuses, Broadcast: p.node.BroadcastCrashes, Metrics: p.metrics, Log: p.log, Now: time.Now,
+		MayProbe: func(part poison.Part) bool { return p.registry.Settled() && p.node.Owns(uint64(part)) },
+	})
+}
+
 // tickRateLimits keeps this instance's shares of the rate limits up to date.
 func (p *process) tickRateLimits(ctx context.Context) error {
 	for sleep.For(ctx, ratelimit.TickInterval) {
@@ -147,6 +158,7 @@
 	}
 	m.Usage = p.usage.Own()
 	m.RateLimits = p.rateLimits.Reports()
+	m.Quarantine = p.poison.Entries(maxQuarantineEntries)
 	m.Fence = p.dutyLease.HighestFence()
 }
 
@@ -158,6 +170,7 @@
 	p.meter.Record(from, m.Demand)
 	p.usage.Merge(from, m.Usage)
 	p.rateLimits.Receive(m.RateLimits)
+	p.poison.Merge(m.Quarantine)
 	p.dutyLease.ObserveFence(m.Fence)
 	p.scheduler.Speeds.Merge(from, m.Speeds)
 	loads := make(map[string]endpoints.Load, len(m.Load))
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -24,6 +24,7 @@
 	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/logging"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
+	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/retry"
 	"github.com/medlarsill/medlarsill/pkg/routing"
@@ -74,6 +75,7 @@
 	allowances       *allowance.Limiter
 	rateLimits       *ratelimit.Limits
 	backoffs         *backoff.Backoffs
+	poison           *poison.Guard
 	pool             *upstream.Pool
 	gateway          *gateway.Gateway
 	ingress          *ingress.Server
@@ -111,9 +113,10 @@
 	p.rateLimits = ratelimit.New(ratelimit.Options{Members: p.membership, Metrics: ratelimit.NewMetrics(p.metrics), Log: log, Now: time.Now})
 	p.backoffs = backoff.New(backoff.Options{Metrics: p.metrics, Log: log, Now: time.Now})
 	p.scheduler.Limits = schedule.AllOf{p.backoffs, p.rateLimits}
+	p.poison = p.newPoisonGuard()
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.allowances,
-		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs,
+		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs, Poison: p.poison,
 		Pool: p.pool, Metrics: gateway.NewMetrics(p.metrics), Log: log, KnownState: p.knownState, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
 	})
 	p.setUpDuties(client)
@@ -187,6 +190,8 @@
 		p.sweepPool,
 		p.logSpeeds,
 		p.tickRateLimits,
+		p.poison.Run,
+		p.keepQuarantine,
 		p.runPeers,
 		p.loadSpeeds,
 		p.registry.Run,
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -32,6 +32,10 @@
 	// end, or nothing was sent.
 	reusable bool
 	sent     time.Time
+	// firstEvent is when the first event of the answer arrived; zero before. survived is true
+	// once the endpoint is known to have survived the beginning of the answer.
+	firstEvent time.Time
+	survived   bool
 }
 
 // attempt sends the request to the endpoint of the placement and relays the response.
@@ -173,6 +177,7 @@
 		a.placement.Abandoned()
 		return outcome{state: stateUnknown, reason: "no answer in time"}
 	}
+	a.recordBreak(err)
 	a.placement.Endpoint.RecordUnreachable(g.Now())
 	g.Pool.CloseIdle(a.placement.Endpoint.Addr)
 	g.Log.Debug("failed to receive response from endpoint", "request", a.meta.ID, "endpoint", a.placement.Endpoint.ID, "error", err.Error(), "reused", a.conn.Reused())
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 	"github.com/medlarsill/medlarsill/pkg/schedule"
 )
@@ -32,6 +33,11 @@
 	priority         int
 	endpointPriority int
 
+	// parts holds the prompt's parts that other requests may share. probe is true if the
+	// request may be sent once though one of them is known to crash endpoints.
+	parts []poison.Part
+	probe bool
+
 	// attempts is the number of times that the request was sent, possibleRuns the
 	// number of those in which it may have run.
 	attempts     int
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -90,9 +90,11 @@
 	RateLimits RateLimits
 	// Backoffs keeps the times until which endpoints want no requests.
 	Backoffs Backoffs
-	Pool     *upstream.Pool
-	Metrics  *Metrics
-	Log      *slog.Logger
+	// Poison keeps requests that crash endpoints away from them.
+	Poison  PoisonGuard
+	Pool    *upstream.Pool
+	Metrics *Metrics
+	Log     *slog.Logger
 	// KnownState returns the versions and ages of the state that this process works
 	// with, for the log lines of failed requests.
 	KnownState func() slog.Attr
@@ -135,7 +137,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{gateway: g, w: w, r: r, arrived: g.Now(), endpointPriority: defaultEndpointPriority}
-	for _, f := range []filter{g.findRoute, g.findWorkspace, g.readBody, g.chargeAllowance} {
+	for _, f := range []filter{g.findRoute, g.findWorkspace, g.checkPoison, g.readBody, g.chargeAllowance} {
 		if refused := f(c); refused != nil {
 			c.refuse(refused)
 			return
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -24,7 +24,7 @@
 	a.setBodyDeadline(resp)
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
-		return a.handleTruncated(ctx)
+		return a.handleTruncated(ctx, err)
 	}
 	response := &bufferedResponse{status: resp.StatusCode, header: g.Protocol.ResponseHeader(resp.Header), body: head, endpoint: a.placement.Endpoint.ID}
 	if len(head) > maxBufferedBytes {
@@ -42,6 +42,7 @@
 	}
 	if resp.StatusCode < http.StatusInternalServerError {
 		a.placement.Endpoint.RecordSuccess()
+		a.recordCompletion(resp)
 	}
 	a.deliver(response)
 	a.reusable = true
@@ -107,8 +108,9 @@
 
 // handleTruncated handles a response that ended early, before any of it was
 // forwarded.
-func (a *attempt) handleTruncated(ctx context.Context) outcome {
+func (a *attempt) handleTruncated(ctx context.Context, err error) outcome {
 	if ctx.Err() == nil {
+		a.recordBreak(err)
 		a.placement.Endpoint.RecordFailure(a.gateway.Now())
 	}
 	return outcome{state: stateUnknown, reason: "answer broke off"}
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -56,6 +56,7 @@
 
 // run attempts the request until it has a final response or may not be retried.
 func (c *call) run(ctx context.Context) {
+	defer c.endProbe()
 	g := c.gateway
 	last := outcome{state: stateUnsent}
 	for {
@@ -64,6 +65,11 @@
 			c.failPlacement(ctx, err, last)
 			return
 		}
+		if c.poisoned() {
+			p.End()
+			c.finish(ctx, outcome{state: last.state, reason: reasonPoison})
+			return
+		}
 		last = c.attempt(ctx, p)
 		if last.done {
 			return
@@ -82,7 +88,7 @@
 // mayRetry reports whether the request may be sent again, and if so deducts the
 // retry from the budget.
 func (c *call) mayRetry(last outcome) bool {
-	if c.deadline.Sub(c.gateway.Now()) < minTimeLeft {
+	if c.deadline.Sub(c.gateway.Now()) < minTimeLeft || c.poisoned() {
 		return false
 	}
 	switch last.state {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -43,7 +43,7 @@
 			return a.finishStream(resp)
 		}
 		if err != nil || len(buf) > maxEventBytes {
-			return a.failStream(ctx)
+			return a.failStream(ctx, err)
 		}
 	}
 }
@@ -64,6 +64,7 @@
 		a.gateway.Metrics.FirstEvent.Observe(a.gateway.Now().Sub(a.arrived).Seconds())
 	}
 	a.markRunning()
+	a.recordEvent()
 	a.placement.AnswerStarted()
 	a.placement.EventsReceived(count)
 	if last != "" {
@@ -93,6 +94,7 @@
 // finishStream handles a stream that ended normally.
 func (a *attempt) finishStream(resp *http.Response) outcome {
 	a.reusable = true
+	a.recordCompletion(resp)
 	a.placement.Completed()
 	a.placement.Endpoint.RecordSuccess()
 	a.recordResponse(resp.StatusCode, a.placement.Endpoint.ID)
@@ -100,8 +102,9 @@
 }
 
 // failStream handles a stream that ended early.
-func (a *attempt) failStream(ctx context.Context) outcome {
+func (a *attempt) failStream(ctx context.Context, err error) outcome {
 	if ctx.Err() == nil {
+		a.recordBreak(err)
 		a.placement.Endpoint.RecordUnreachable(a.gateway.Now())
 	}
 	return outcome{state: stateUnknown, reason: "stream broke off"}
--- a/pkg/gossip/changes.go
+++ b/pkg/gossip/changes.go
@@ -5,22 +5,29 @@
 	"net/netip"
 )
 
-// BroadcastChanges queues changes from a watch of the object store for immediate
-// sending to all peers. It doesn't block: if the queue is full, the changes are dropped
-// and logged, which peers tolerate as they tolerate a lost datagram.
-func (n *Node) BroadcastChanges(changes []byte) {
+// BroadcastChanges sends changes from a watch of the object store to all peers at once.
+func (n *Node) BroadcastChanges(changes []byte) { n.broadcast(Message{Changes: changes}) }
+
+// BroadcastCrashes sends a report of crashes to all peers at once.
+func (n *Node) BroadcastCrashes(report []byte) { n.broadcast(Message{Crashes: report}) }
+
+// broadcast queues a message for immediate sending to all peers. It doesn't block: if the
+// queue is full, the message is dropped and logged, which peers tolerate as they tolerate
+// a lost datagram.
+func (n *Node) broadcast(m Message) {
 	select {
-	case n.changes <- changes:
+	case n.broadcasts <- m:
 	default:
-		n.Log.Warn("failed to broadcast changes", "reason", "send queue full")
+		n.Log.Warn("failed to broadcast message", "reason", "send queue full")
 	}
 }
 
-// sendChanges sends all peers a message that holds only changes.
-func (n *Node) sendChanges(conn *net.UDPConn, changes []byte) {
-	data, err := encode(Message{ID: n.ID, Boot: n.Boot, Changes: changes})
+// sendToAll sends a message to all peers.
+func (n *Node) sendToAll(conn *net.UDPConn, m Message) {
+	m.ID, m.Boot = n.ID, n.Boot
+	data, err := encode(m)
 	if err != nil {
-		n.Log.Error("failed to broadcast changes", "error", err.Error())
+		n.Log.Error("failed to broadcast message", "error", err.Error())
 		return
 	}
 	for _, addr := range n.peerAddrs() {
@@ -28,15 +35,19 @@
 	}
 }
 
-// receiveChanges passes on the changes in a peer's message. A message with an unknown
-// sender, boot number or address is ignored, since changes name endpoints to send
-// requests to.
-func (n *Node) receiveChanges(m Message, from netip.AddrPort) {
+// receiveBroadcast passes on what a peer has broadcast. A message with an unknown sender,
+// boot number or address is ignored, since it tells where requests may be sent.
+func (n *Node) receiveBroadcast(m Message, from netip.AddrPort) {
 	if !n.fromKnownPeer(m, from) {
-		n.Log.Warn("ignoring changes from unknown sender", "sender", m.ID, "from", from.String(), "reason", "no known peer with this boot number and address")
+		n.Log.Warn("ignoring broadcast from unknown sender", "sender", m.ID, "from", from.String(), "reason", "no known peer with this boot number and address")
 		return
 	}
-	n.OnChanges(m.Changes)
+	if m.Changes != nil {
+		n.OnChanges(m.Changes)
+	}
+	if m.Crashes != nil {
+		n.OnCrashes(m.Crashes)
+	}
 }
 
 // fromKnownPeer reports whether a message has the newest known boot number of its sender
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -358,11 +358,11 @@
 	n := newNode("a", &now)
 	var received []string
 	n.OnChanges = func(data []byte) { received = append(received, string(data)) }
-	n.receiveChanges(Message{ID: "b", Boot: 5, Changes: []byte("unknown peer")}, address(2))
+	n.receiveBroadcast(Message{ID: "b", Boot: 5, Changes: []byte("unknown peer")}, address(2))
 	n.accept(Message{ID: "b", Boot: 5, Seq: 1}, address(2))
-	n.receiveChanges(Message{ID: "b", Boot: 5, Changes: []byte("other address")}, address(3))
-	n.receiveChanges(Message{ID: "b", Boot: 4, Changes: []byte("earlier boot number")}, address(2))
-	n.receiveChanges(Message{ID: "b", Boot: 5, Changes: []byte("peer")}, address(2))
+	n.receiveBroadcast(Message{ID: "b", Boot: 5, Changes: []byte("other address")}, address(3))
+	n.receiveBroadcast(Message{ID: "b", Boot: 4, Changes: []byte("earlier boot number")}, address(2))
+	n.receiveBroadcast(Message{ID: "b", Boot: 5, Changes: []byte("peer")}, address(2))
 	g.Expect(received).To(Equal([]string{"peer"}))
 }
 
--- a/pkg/gossip/members.go
+++ b/pkg/gossip/members.go
@@ -61,6 +61,21 @@
 	return rank
 }
 
+// Owns reports whether this instance is the one, among itself and the reachable peers, that
+// a key belongs to. Instances that reach the same peers agree on it.
+func (n *Node) Owns(key uint64) bool {
+	timeout := n.PeerTimeout()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	own := rendezvous.HashWeight(key, rendezvous.Key(n.ID))
+	for id, p := range n.peers {
+		if n.Now().Sub(p.lastSeen) <= timeout && rendezvous.HashWeight(key, rendezvous.Key(id)) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // ReachablePeers returns the number of reachable peers.
 func (n *Node) ReachablePeers() int {
 	timeout := n.PeerTimeout()
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/speed"
 )
@@ -57,6 +58,11 @@
 	// Changes holds changes from the sender's watch of the object store. Apart from the
 	// sender, such a message has no other fields.
 	Changes []byte `cbor:"14,keyasint,omitempty"`
+	// Crashes holds a report of crashed endpoints. Apart from the sender, such a message has
+	// no other fields.
+	Crashes []byte `cbor:"16,keyasint,omitempty"`
+	// Quarantine holds parts of prompts that crash endpoints.
+	Quarantine []poison.Entry `cbor:"17,keyasint,omitempty"`
 	// RateLimits holds some of the endpoints' rate limits that the sender knows of.
 	RateLimits []ratelimit.Report `cbor:"15,keyasint,omitempty"`
 	// Usage holds the number of requests that began to run, by usage window and workspace.
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -28,8 +28,8 @@
 	maxNewPeers = 64
 	// maxFirstTarget bounds the position of an instance's first target, which grows from there.
 	maxFirstTarget = 1 << 20
-	// maxChanges is the largest number of queued broadcasts of changes.
-	maxChanges = 64
+	// maxBroadcasts is the largest number of queued broadcasts.
+	maxBroadcasts = 64
 )
 
 // Options configures a Node. All fields are required.
@@ -40,10 +40,11 @@
 	Listen netip.AddrPort
 	// Fill adds this instance's state to a message.
 	Fill func(m *Message)
-	// OnMessage is called with each message of a peer, OnChanges with the changes that a
-	// peer broadcasts.
+	// OnMessage is called with each message of a peer, OnChanges and OnCrashes with the
+	// changes and the reports of crashes that a peer broadcasts.
 	OnMessage func(m Message)
 	OnChanges func(data []byte)
+	OnCrashes func(data []byte)
 	Log       *slog.Logger
 	Now       func() time.Time
 }
@@ -64,8 +65,8 @@
 	newPeers chan netip.AddrPort
 	// leftBoots holds, by peer, the boot number under which it last left.
 	leftBoots map[string]uint64
-	// changes queues changes that are to be broadcast.
-	changes chan []byte
+	// broadcasts queues messages that are to be sent to all peers at once.
+	broadcasts chan Message
 	// leaveRequests carries the requests of Leave; isLeaving is true from then on.
 	leaveRequests chan chan struct{}
 	isLeaving     bool
@@ -93,8 +94,8 @@
 func NewNode(o Options) *Node {
 	return &Node{
 		Options: o, peers: make(map[string]*peer), members: 1, nextTarget: int(rendezvous.Key(o.ID) % maxFirstTarget),
-		newPeers: make(chan netip.AddrPort, maxNewPeers),
-		changes:  make(chan []byte, maxChanges), leftBoots: make(map[string]uint64), leaveRequests: make(chan chan struct{}),
+		newPeers:   make(chan netip.AddrPort, maxNewPeers),
+		broadcasts: make(chan Message, maxBroadcasts), leftBoots: make(map[string]uint64), leaveRequests: make(chan chan struct{}),
 	}
 }
 
@@ -121,8 +122,8 @@
 		}
 		switch {
 		case m.ID == n.ID:
-		case m.Changes != nil:
-			n.receiveChanges(m, from)
+		case m.Changes != nil, m.Crashes != nil:
+			n.receiveBroadcast(m, from)
 		case n.accept(m, from):
 			n.OnMessage(m)
 		}
@@ -203,8 +204,8 @@
 				newest = n.message(nil)
 			}
 			write(conn, newest, addr)
-		case data := <-n.changes:
-			n.sendChanges(conn, data)
+		case m := <-n.broadcasts:
+			n.sendToAll(conn, m)
 		case <-ticker.C:
 			newest = n.message(newest)
 			for _, addr := range n.targets() {
--- /dev/null
+++ b/pkg/poison/keeper.go
@@ -0,0 +1,94 @@
+package poison
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/lease"
+	"github.com/medlarsill/medlarsill/pkg/objectstore"
+	"github.com/medlarsill/medlarsill/pkg/sleep"
+)
+
+const (
+	// stateKey is the key of the object that holds the parts in quarantine.
+	stateKey = "poison/parts"
+	// saveInterval is the least time between two writes of the object, and between two
+	// attempts to read it.
+	saveInterval = 500 * time.Millisecond
+)
+
+// Keeper keeps the parts in quarantine in the object store, for a start of all instances:
+// one that starts alone hears of them from its peers.
+type Keeper struct {
+	Guard *Guard
+	Store objectstore.Store
+	// Held reports whether this instance is the one that writes the object.
+	Held func() bool
+	Log  *slog.Logger
+
+	stored lease.State
+	// saved is what the object holds as far as this instance knows.
+	saved []Entry
+}
+
+// record is the stored object.
+type record struct {
+	Parts []Entry `json:"parts"`
+}
+
+// Run reads the stored parts once and then stores changes until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	k.stored = lease.State{Store: k.Store, Key: stateKey}
+	loaded := false
+	for sleep.For(ctx, saveInterval) {
+		loaded = loaded || k.load(ctx)
+		if loaded && k.Held() {
+			k.save(ctx)
+		}
+	}
+	return nil
+}
+
+// load reads the stored parts. It reports whether that is done.
+func (k *Keeper) load(ctx context.Context) bool {
+	var r record
+	_, err := k.stored.Load(ctx, &r)
+	if errors.Is(err, lease.ErrStateUnreadable) {
+		k.Log.Error("failed to decode quarantined prompt parts; starting without them", "error", err.Error())
+		return true
+	}
+	if err != nil {
+		k.Log.Warn("failed to read quarantined prompt parts", "error", err.Error())
+		return false
+	}
+	k.saved = r.Parts
+	k.Guard.Merge(r.Parts)
+	return true
+}
+
+// save stores the parts if they have changed.
+func (k *Keeper) save(ctx context.Context) {
+	list := k.Guard.Entries(maxQuarantined)
+	if sameEntries(list, k.saved) {
+		return
+	}
+	err := k.stored.Save(ctx, record{Parts: list})
+	if errors.Is(err, lease.ErrStateConflict) {
+		// The holder before has written the object. This instance knows its parts from the
+		// peers; only the version is missing.
+		_, err = k.stored.Load(ctx, &record{})
+	} else if err == nil {
+		k.saved = list
+	}
+	if err != nil {
+		k.Log.Warn("failed to store quarantined prompt parts", "error", err.Error())
+	}
+}
+
+// sameEntries reports whether two lists are the same but for the times of the probes.
+func sameEntries(a, b []Entry) bool {
+	return slices.EqualFunc(a, b, func(x, y Entry) bool { return x.Part == y.Part && x.Epoch == y.Epoch && x.Probes == y.Probes })
+}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -114,6 +114,18 @@
 	return optErr
 }
 
+// Refuses reports whether no connection can be opened to an address.
+func (p *Pool) Refuses(addr string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), p.DialTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return true
+	}
+	c.Close()
+	return false
+}
+
 // Put returns a connection to the pool after its request has ended. If the response
 // was not read to its end (complete is false), it closes the connection. At most
 // limit idle connections are kept to an address.
