--- a/pkg/poison/crashlog.go
+++ b/pkg/poison/crashlog.go
@@ -15,19 +15,33 @@
 	maxParts = 256
 )
 
-// Amounts of evidence.
 const (
-	// minCrashes is the number of crashes that a poison part accounts for at least.
-	minCrashes = 4
-	// minCrashesTied is that number if several parts account for the same crashes.
-	minCrashesTied = 6
-	// crashInterval separates crashes that count apart: endpoints that end at the same
+	// groupTime is the time in which crashes count as one: endpoints that end at the same
 	// moment probably have a cause in common.
-	crashInterval = 150 * time.Millisecond
+	groupTime = 60 * time.Millisecond
 	// settleTime is the time after a crash in which other instances may report it.
 	settleTime = 200 * time.Millisecond
+	// frequentCrashes is the number of crashes a second above which requests often break off
+	// several times by chance.
+	frequentCrashes = 1.5
+	// minCrashesTied is the number of crashes from which on several parts that account for
+	// the same crashes are all taken for poison.
+	minCrashesTied = 12
 )
 
+// thresholds holds the number of crashes from which on a part is taken for poison, by the
+// share of all crashes in that time that it accounts for. The more crashes there are beside,
+// the more of them a sound part meets by chance.
+var thresholds = []struct {
+	share float64
+	// crashes applies while crashes are rare, whenFrequent while they are frequent.
+	crashes, whenFrequent int
+}{
+	{share: 0.75, crashes: 4, whenFrequent: 6},
+	{share: 0.4, crashes: 5, whenFrequent: 8},
+	{share: 0.25, crashes: 6, whenFrequent: 10},
+}
+
 // crash is the end of an endpoint's process.
 type crash struct {
 	process process
@@ -87,37 +101,69 @@
 	}
 }
 
-// evidence is the number of crashes for which a part may account, and the time of the last.
+// evidence is what speaks against a part: the crashes that it may account for, where those
+// of one group count once.
 type evidence struct {
-	crashes int
-	last    time.Time
+	crashes     int
+	first, last group
+}
+
+// group is a number of crashes at about the same moment.
+type group struct {
+	index int
+	at    time.Time
 }
 
-// evidence returns the evidence against all parts. Crashes at the same moment count once.
-func (l *crashLog) evidence() map[Part]evidence {
+// evidence returns the evidence against all parts, but for the newest crashes, which other
+// instances may still report.
+func (l *crashLog) evidence(now time.Time) map[Part]evidence {
 	out := make(map[Part]evidence)
+	current := group{index: -1}
 	for _, c := range l.crashes {
-		if c.explained {
+		if c.explained || now.Sub(c.at) < settleTime {
 			continue
 		}
+		if current.index < 0 || c.at.Sub(current.at) >= groupTime {
+			current = group{index: current.index + 1, at: c.at}
+		}
 		for p := range c.parts {
-			e := out[p]
-			if e.crashes == 0 || c.at.Sub(e.last) >= crashInterval {
-				out[p] = evidence{crashes: e.crashes + 1, last: c.at}
+			e, ok := out[p]
+			if !ok {
+				e.first = current
+			}
+			if !ok || e.last.index != current.index {
+				e.crashes++
 			}
+			e.last = current
+			out[p] = e
 		}
 	}
 	return out
 }
 
+// sufficient reports whether evidence is enough to take a part for poison.
+func (e evidence) sufficient() bool {
+	all := e.last.index - e.first.index + 1
+	frequent := float64(all-1) > frequentCrashes*e.last.at.Sub(e.first.at).Seconds()
+	for _, t := range thresholds {
+		if float64(e.crashes) < t.share*float64(all) {
+			continue
+		}
+		if frequent {
+			return e.crashes >= t.whenFrequent
+		}
+		return e.crashes >= t.crashes
+	}
+	return false
+}
+
 // poison returns the parts that account for enough crashes, and for more than any other
-// part of the same crashes. It returns none of which other instances may still report the
-// last crash.
+// part of the same crashes.
 func (l *crashLog) poison(now time.Time) []Part {
-	all := l.evidence()
+	all := l.evidence(now)
 	var out []Part
 	for p, e := range all {
-		if e.crashes >= minCrashes && now.Sub(e.last) >= settleTime && !l.hasRival(p, all) {
+		if e.sufficient() && !l.hasRival(p, all) {
 			out = append(out, p)
 		}
 	}
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -253,9 +253,6 @@
 	parts = slices.Compact(parts)
 	parts = slices.DeleteFunc(parts, func(p Part) bool { return g.sound.has(p, now) })
 	g.Log.Info("endpoint ended with requests", "endpoint", k.ID, "suspected_parts", len(parts))
-	if len(parts) == 0 {
-		return
-	}
 	g.addCrash(processOf(k), parts, now)
 	g.next.Crashes = append(g.next.Crashes, crashReport{Process: processOf(k), Parts: parts})
 }
