gateway: a resumed answer without length or chunks that ends without an event is broken off

A stream whose framing doesn't mark its end, resumed at another endpoint that ends before the first event, was passed on as complete. TestGateway_RelaysAnswersThatEndWithTheirConnection failed in that case; whole answers, plain and streams, and those cut inside an event were handled rightly before.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -39,7 +39,7 @@
 			}
 			buf = append(buf[:0], buf[len(events):]...)
 		}
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(buf)) == 0 && a.headerSent {
+		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(buf)) == 0 && a.mayBeComplete(resp) {
 			return a.finishStream(resp)
 		}
 		if err != nil || len(buf) > maxEventBytes {
@@ -48,6 +48,12 @@
 	}
 }
 
+// mayBeComplete reports whether a stream that has ended between two events may be complete.
+// One without events isn't, unless its framing marks the end of a resumed stream.
+func (a *attempt) mayBeComplete(resp *http.Response) bool {
+	return !a.firstEvent.IsZero() || a.headerSent && !endsWithConnection(resp)
+}
+
 // writeEvents writes complete events to the caller and flushes them. It reports
 // whether they directly follow the last event that the caller has received.
 func (a *attempt) writeEvents(rc *http.ResponseController, resp *http.Response, events []byte) bool {
