poison: bound what instances report and tell each other

More than eight endpoints that end within a tick of 50 ms aren't reported: all instances of a large fleet would report the loss of a data centre's endpoints to all others at the same moment, and it is no evidence against single requests. A message to the peers holds at most eight parts, in turn, since it must fit into a datagram with all else.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -27,8 +27,6 @@
 	// Instances may have run a little longer, as the state is stored only three times
 	// a second.
 	idleMargin = 500 * time.Millisecond
-	// maxQuarantineEntries is the largest number of quarantined parts in a message.
-	maxQuarantineEntries = 32
 	// One in speedsInterval messages includes the learned endpoint speeds.
 	speedsInterval = 5
 	// storedSource is the source name of the endpoint speeds that are read from the store.
@@ -158,7 +156,7 @@
 	}
 	m.Usage = p.usage.Own()
 	m.RateLimits = p.rateLimits.Reports()
-	m.Quarantine = p.poison.Entries(maxQuarantineEntries)
+	m.Quarantine = p.poison.NextEntries()
 	m.Fence = p.dutyLease.HighestFence()
 }
 
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -24,8 +24,14 @@
 	// repeatDelay is the time after which a report is sent again, since datagrams may be
 	// lost.
 	repeatDelay = 100 * time.Millisecond
+	// maxReportedCrashes is the largest number of crashes in the time of one tick that an
+	// instance reports. More at once have another cause than single requests, and all
+	// instances would report them at the same moment.
+	maxReportedCrashes = 8
 	// soundReportInterval is the least time between two reports that a part is sound.
 	soundReportInterval = 300 * time.Millisecond
+	// entriesPerMessage is the largest number of parts in quarantine in one message.
+	entriesPerMessage = 8
 	// probeRetryAfter is the time after which callers may try again while a probe is due.
 	probeRetryAfter = 5 * time.Second
 )
@@ -52,6 +58,8 @@
 	// active is true while parts are in quarantine or suspected, so that nothing is locked
 	// otherwise.
 	active atomic.Bool
+	// nextEntry counts the entries that were told to the peers.
+	nextEntry atomic.Uint32
 
 	mu         sync.Mutex
 	log        crashLog
@@ -287,15 +295,24 @@
 	g.merge(r.Entries, now)
 }
 
-// Entries returns the parts in quarantine for the messages to the peers, at most limit.
-func (g *Guard) Entries(limit int) []Entry {
+// Entries returns all parts in quarantine, sorted.
+func (g *Guard) Entries() []Entry {
 	if !g.active.Load() {
 		return nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	list := g.quarantine.list(g.Now())
-	return list[:min(len(list), limit)]
+	return g.quarantine.list(g.Now())
+}
+
+// NextEntries returns some of the parts in quarantine for a message to the peers, in turn.
+func (g *Guard) NextEntries() []Entry {
+	list := g.Entries()
+	if len(list) <= entriesPerMessage {
+		return list
+	}
+	first := int(g.nextEntry.Add(entriesPerMessage)) % len(list)
+	return append(list[first:], list[:first]...)[:entriesPerMessage]
 }
 
 // Merge takes over parts in quarantine from a peer or from the store.
@@ -347,6 +364,10 @@
 	}
 	g.quarantine.expire(now)
 	g.updateMetrics()
+	if count := len(g.next.Crashes); count > maxReportedCrashes {
+		g.Log.Info("many endpoints ended at once; not reported", "endpoints", count)
+		g.next.Crashes = nil
+	}
 	var out []report
 	for !g.next.empty() {
 		out = append(out, g.next.take())
--- a/pkg/poison/keeper.go
+++ b/pkg/poison/keeper.go
@@ -71,7 +71,7 @@
 
 // save stores the parts if they have changed.
 func (k *Keeper) save(ctx context.Context) {
-	list := k.Guard.Entries(maxQuarantined)
+	list := k.Guard.Entries()
 	if sameEntries(list, k.saved) {
 		return
 	}
--- a/pkg/poison/quarantine.go
+++ b/pkg/poison/quarantine.go
@@ -129,14 +129,14 @@
 	return added
 }
 
-// list returns the entries, those of the parts with the fewest probes first.
+// list returns the entries, sorted.
 func (q *quarantine) list(now time.Time) []Entry {
 	out := make([]Entry, 0, len(q.entries))
 	for p, e := range q.entries {
 		out = append(out, e.toEntry(p, now))
 	}
 	slices.SortFunc(out, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(a.Probes, b.Probes), cmp.Compare(a.Part, b.Part))
+		return cmp.Compare(a.Part, b.Part)
 	})
 	return out
 }
