--- /dev/null
+++ b/pkg/poison/poison_test.go
@@ -0,0 +1,278 @@
+package poison
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"pgregory.net/rapid"
+
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/objectstore/memstore"
+	_ "github.com/medlarsill/medlarsill/pkg/testseed"
+)
+
+// start is the time at which these tests begin.
+var start = time.Unix(1_000_000, 0)
+
+// logOf returns a log with a crash of another process after each pause.
+func logOf(pause time.Duration, crashes ...[]Part) (*crashLog, time.Time) {
+	l := &crashLog{}
+	now := start
+	for n, parts := range crashes {
+		l.add(process(n+1), parts, now)
+		now = now.Add(pause)
+	}
+	return l, now.Add(settleTime)
+}
+
+func TestCrashLog_Thresholds(t *testing.T) {
+	g := NewWithT(t)
+	bad := func(n int, also ...Part) [][]Part {
+		var out [][]Part
+		for i := range n {
+			out = append(out, append([]Part{1, Part(100 + i)}, also...))
+		}
+		return out
+	}
+	l, now := logOf(2*time.Second, bad(3)...)
+	g.Expect(l.poison(now)).To(BeEmpty(), "three crashes")
+	l, now = logOf(2*time.Second, bad(4)...)
+	g.Expect(l.poison(now)).To(Equal([]Part{1}), "four crashes, rare")
+	l, now = logOf(200*time.Millisecond, bad(5)...)
+	g.Expect(l.poison(now)).To(BeEmpty(), "five crashes, frequent")
+	l, now = logOf(200*time.Millisecond, bad(6)...)
+	g.Expect(l.poison(now)).To(Equal([]Part{1}), "six crashes, frequent")
+	l, now = logOf(time.Millisecond, bad(20)...)
+	g.Expect(l.poison(now)).To(BeEmpty(), "twenty crashes at once")
+	l, now = logOf(2*time.Second, bad(6, 2)...)
+	g.Expect(l.poison(now)).To(BeEmpty(), "two parts of the same crashes")
+	l, now = logOf(2*time.Second, bad(minCrashesTied, 2)...)
+	g.Expect(l.poison(now)).To(Equal([]Part{1, 2}), "two parts of many crashes")
+	l, now = logOf(2*time.Second, bad(6, 2)...)
+	l.clear(2)
+	g.Expect(l.poison(now)).To(Equal([]Part{1}), "one of them was answered")
+	l, now = logOf(2*time.Second, bad(6)...)
+	l.explain(1)
+	g.Expect(l.poison(now)).To(BeEmpty(), "crashes that are explained")
+	g.Expect(l.suspected(100)).To(BeFalse())
+}
+
+// Property: whatever crashes are reported, the log is bounded and blames only parts of at
+// least four of them that weren't answered since.
+func TestCrashLog_BlamesOnlyPartsOfSeveralCrashes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := &crashLog{}
+		now := start
+		since := make(map[Part]map[process]bool)
+		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pause")) * time.Millisecond)
+			p := Part(rapid.IntRange(1, 6).Draw(rt, "part"))
+			if rapid.IntRange(0, 3).Draw(rt, "step") == 0 {
+				l.clear(p)
+				delete(since, p)
+				continue
+			}
+			ended := process(rapid.IntRange(1, 300).Draw(rt, "process"))
+			l.add(ended, []Part{p}, now)
+			if since[p] == nil {
+				since[p] = make(map[process]bool)
+			}
+			since[p][ended] = true
+			for _, blamed := range l.poison(now) {
+				if len(since[blamed]) < 4 {
+					rt.Fatalf("part %d was blamed for %d crashes", blamed, len(since[blamed]))
+				}
+			}
+		}
+		if len(l.crashes) > maxCrashes {
+			rt.Fatalf("%d crashes are kept", len(l.crashes))
+		}
+	})
+}
+
+func TestQuarantine_ProbesLessAndLessOften(t *testing.T) {
+	g := NewWithT(t)
+	q := newQuarantine()
+	g.Expect(q.add(1, start)).To(BeTrue())
+	g.Expect(q.add(1, start)).To(BeFalse())
+	e := q.entries[1]
+	g.Expect(e.probeAt.Sub(start)).To(Equal(checkDelay))
+	now := start.Add(checkDelay + checkPeriod)
+	q.expire(now)
+	g.Expect(e.probeAt.Sub(now)).To(Equal(firstProbeDelay), "no probe was sent within the period")
+	for _, want := range []time.Duration{60 * time.Second, 120 * time.Second, 240 * time.Second, 480 * time.Second, maxProbeDelay, maxProbeDelay} {
+		e.scheduleProbe(now)
+		g.Expect(e.probeAt.Sub(now)).To(Equal(want))
+	}
+	q.expire(e.probeAt.Add(forgetTime + time.Second))
+	g.Expect(q.entries).To(BeEmpty())
+}
+
+func TestQuarantine_MergeKeepsNewerState(t *testing.T) {
+	g := NewWithT(t)
+	q := newQuarantine()
+	g.Expect(q.merge([]Entry{{Part: 1, Epoch: 1, Probes: 2, ProbeInMS: 1000}}, start)).To(Equal([]Part{1}))
+	g.Expect(q.merge([]Entry{{Part: 1, Epoch: 1, Probes: 1, ProbeInMS: 0}}, start)).To(BeEmpty())
+	g.Expect(q.entries[1].probeAt).To(Equal(start.Add(time.Second)), "fewer probes are older")
+	q.merge([]Entry{{Part: 1, Epoch: 1, Probes: 3, ProbeInMS: 1 << 62}}, start)
+	g.Expect(q.entries[1].probeAt).To(Equal(start.Add(maxProbeDelay)))
+	q.release(1, start)
+	g.Expect(q.merge([]Entry{{Part: 1, Epoch: 1, Probes: 3}}, start)).To(BeEmpty(), "a peer that hasn't heard of the release")
+	g.Expect(q.merge([]Entry{{Part: 1, Epoch: 2}}, start)).To(Equal([]Part{1}), "a later quarantine")
+	for p := range Part(2 * maxQuarantined) {
+		q.merge([]Entry{{Part: p, Epoch: 1}}, start)
+	}
+	g.Expect(len(q.entries)).To(Equal(maxQuarantined))
+}
+
+func TestReport_IsSplitIntoDatagrams(t *testing.T) {
+	g := NewWithT(t)
+	parts := make([]Part, 700)
+	for i := range parts {
+		parts[i] = Part(1<<63 + uint64(i))
+	}
+	r := report{Crashes: []crashReport{{Process: 1, Parts: parts}, {Process: 2}}, Sound: []Part{7}}
+	seen, crashes := 0, make(map[process]bool)
+	for !r.empty() {
+		next := r.take()
+		data, err := next.encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(len(data)).To(BeNumerically("<", 4<<10))
+		out, err := decodeReport(data)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, c := range out.Crashes {
+			seen += len(c.Parts)
+			crashes[c.Process] = true
+		}
+	}
+	g.Expect(seen).To(Equal(700))
+	g.Expect(crashes).To(HaveLen(2))
+}
+
+// newGuard returns a guard on a clock, of which each endpoint has ended.
+func newGuard(now func() time.Time) *Guard {
+	return New(Options{
+		Ended: func(string) bool { return true }, Broadcast: func([]byte) {}, MayProbe: func(Part) bool { return true },
+		Metrics: prometheus.NewRegistry(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: now,
+	})
+}
+
+// endpoint returns the n-th endpoint.
+func endpoint(n int) *endpoints.Endpoint {
+	t := endpoints.NewTable(func() {})
+	t.Put(endpoints.Info{ID: fmt.Sprint("i-", n), Addr: "addr", Born: int64(n + 1)})
+	e, _ := t.ByID(fmt.Sprint("i-", n))
+	return e
+}
+
+// Guards against memory that grows with what callers send: each request may bring parts
+// that were never seen before.
+func TestGuard_KeepsBoundedState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		guard := newGuard(time.Now)
+		next := Part(0)
+		for n := range 1000 {
+			parts := make([]Part, 1000)
+			for i := range parts {
+				next++
+				parts[i] = next
+			}
+			guard.BrokeOff(endpoint(n), parts)
+			guard.Survived(parts)
+			time.Sleep(100 * time.Millisecond)
+			guard.Tick()
+		}
+		g.Expect(len(guard.log.crashes)).To(BeNumerically("<=", maxCrashes))
+		for _, c := range guard.log.crashes {
+			g.Expect(len(c.parts)).To(BeNumerically("<=", maxParts))
+		}
+		for i := range guard.sound {
+			g.Expect(len(guard.sound[i].at)).To(BeNumerically("<=", maxSoundParts))
+		}
+		g.Expect(guard.checks).To(BeEmpty())
+		g.Expect(guard.Entries()).To(BeEmpty())
+	})
+}
+
+func TestGuard_ProbesOnceAndReleasesAfterAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		guard := newGuard(time.Now)
+		bad := []Part{1}
+		for n := range 4 {
+			guard.BrokeOff(endpoint(n), bad)
+			time.Sleep(2 * time.Second)
+			guard.Tick()
+		}
+		v := guard.Check([]Part{7, 1})
+		g.Expect(v.Refused).To(BeTrue())
+		g.Expect(v.RetryAfter).To(BeNumerically(">", 0))
+		g.Expect(guard.Check([]Part{7})).To(Equal(Verdict{}), "other parts")
+		time.Sleep(checkDelay)
+		g.Expect(guard.Check(bad)).To(Equal(Verdict{Probe: true}))
+		g.Expect(guard.Check(bad).Refused).To(BeTrue(), "one probe only")
+		guard.ProbeNotSent(bad)
+		time.Sleep(unsentProbeDelay)
+		g.Expect(guard.Check(bad)).To(Equal(Verdict{Probe: true}), "the probe was not sent")
+		guard.Survived(bad)
+		g.Expect(guard.Check(bad)).To(Equal(Verdict{}))
+		_, blocked := guard.Blocked(bad)
+		g.Expect(blocked).To(BeFalse())
+		g.Expect(testutil.ToFloat64(guard.metrics.probes)).To(Equal(2.0))
+		g.Expect(testutil.ToFloat64(guard.metrics.crashes)).To(Equal(4.0))
+	})
+}
+
+// Guards against crashing parts that are forgotten when all instances restart.
+func TestKeeper_KeepsPartsForAStartOfAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := memstore.New()
+		run := func(guard *Guard, held bool) context.CancelFunc {
+			ctx, cancel := context.WithCancel(t.Context())
+			k := Keeper{Guard: guard, Store: store, Held: func() bool { return held }, Log: guard.Log}
+			go func() { _ = k.Run(ctx) }()
+			return cancel
+		}
+		first := newGuard(time.Now)
+		stop := run(first, true)
+		time.Sleep(2 * saveInterval)
+		first.Merge([]Entry{{Part: 5, Epoch: 1, Probes: 1, ProbeInMS: 20_000}})
+		time.Sleep(2 * saveInterval)
+		stop()
+
+		second := newGuard(time.Now)
+		store.SetHook(func(memstore.Op, string) memstore.Fault { return memstore.FaultUnavailable })
+		stop = run(second, false)
+		time.Sleep(2 * saveInterval)
+		g.Expect(second.Entries()).To(BeEmpty(), "while the store is down")
+		store.SetHook(nil)
+		time.Sleep(2 * saveInterval)
+		g.Expect(second.Check([]Part{5}).Refused).To(BeTrue())
+		stop()
+	})
+}
+
+func FuzzReceive(f *testing.F) {
+	r := report{Crashes: []crashReport{{Process: 1, Parts: []Part{1}}}, Sound: []Part{2}, Entries: []Entry{{Part: 3, Epoch: 1}}}
+	data, _ := r.encode()
+	f.Add(data)
+	f.Add([]byte{0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		guard := newGuard(func() time.Time { return start })
+		guard.Receive(data)
+		guard.Tick()
+		if len(guard.Entries()) > maxQuarantined {
+			t.Fatal("more parts than the limit")
+		}
+	})
+}
