gateway: a probe that is refused for another reason is given to the next request

A request that was to check whether a part still crashes endpoints, and was refused as its workspace's limit was used up, used up the probe too: the next came after 30 s and more. TestGateway_ProbesWithTheNextRequestIfOneIsRefused failed (503).

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -139,6 +139,7 @@
 	c := &call{gateway: g, w: w, r: r, arrived: g.Now(), endpointPriority: defaultEndpointPriority}
 	for _, f := range []filter{g.findRoute, g.findWorkspace, g.checkPoison, g.readBody, g.chargeAllowance} {
 		if refused := f(c); refused != nil {
+			c.endProbe()
 			c.refuse(refused)
 			return
 		}
