--- a/pkg/strictjson/decode.go
+++ b/pkg/strictjson/decode.go
@@ -1,6 +1,7 @@
 package strictjson
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"regexp"
@@ -105,13 +106,16 @@
 	return n
 }
 
-// depth estimates the nesting depth by counting brackets, including those in
-// strings and comments. It is checked before parsing because the parser is
-// recursive and deep input could exhaust the stack.
+// depth returns the nesting depth of objects and arrays. It is checked before parsing
+// because the parser is recursive and deep input could exhaust the stack.
 func depth(data []byte) int {
 	deepest, current := 0, 0
-	for _, b := range data {
-		switch b {
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '"':
+			i += stringLength(data[i:]) - 1
+		case '/':
+			i += max(commentLength(data[i:]), 1) - 1
 		case '{', '[':
 			current++
 			deepest = max(deepest, current)
@@ -121,3 +125,37 @@
 	}
 	return deepest
 }
+
+// stringLength returns the length of the string that data begins with, or of all data if
+// it doesn't end.
+func stringLength(data []byte) int {
+	for i := 1; i < len(data); i++ {
+		switch data[i] {
+		case '\\':
+			i++
+		case '"':
+			return i + 1
+		}
+	}
+	return len(data)
+}
+
+// commentLength returns the length of the comment that data begins with, or of all data if
+// it doesn't end. It returns 0 if data doesn't begin with a comment.
+func commentLength(data []byte) int {
+	end := ""
+	switch {
+	case bytes.HasPrefix(data, []byte("//")):
+		end = "\n"
+	case bytes.HasPrefix(data, []byte("/*")):
+		end = "*/"
+	default:
+		return 0
+	}
+	const opening = 2
+	n := bytes.Index(data[opening:], []byte(end))
+	if n < 0 {
+		return len(data)
+	}
+	return opening + n + len(end)
+}
--- a/pkg/strictjson/strictjson_test.go
+++ b/pkg/strictjson/strictjson_test.go
@@ -112,3 +112,16 @@
 		}
 	})
 }
+
+// Guards against deep input that exhausts the stack, since brackets in strings and comments
+// were counted as if they closed it, and against refusals of strings with many brackets.
+func TestDepth_IgnoresStringsAndComments(t *testing.T) {
+	g := NewWithT(t)
+	hidden := strings.Repeat(`[`, 1000)
+	for _, prefix := range []string{`"` + strings.Repeat("]", 1000) + `"`, `"\"` + strings.Repeat("]", 1000) + `"`, "//" + strings.Repeat("}", 1000) + "\n", "/*" + strings.Repeat("}", 1000) + "*/"} {
+		g.Expect(depth([]byte("["+prefix+","+hidden))).To(Equal(1001), prefix[:3])
+	}
+	for _, text := range []string{`["` + hidden + `"]`, "[1 //" + hidden + "\n]", "[/*" + hidden + "*/ 1]", `["` + hidden, "[/*" + hidden} {
+		g.Expect(depth([]byte(text))).To(Equal(1), text[:4])
+	}
+}
