poison: store parts as text, and test that processes share them

A part is a hash of 64 bits; a store that reads numbers of JSON as floating point would change it. TestProcess_SharesCrashingPromptParts: told to peers, kept in the store, and read again by a process that starts alone.

--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/logging"
+	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/platform"
@@ -119,12 +120,24 @@
 }
 
 func (p *gatewayProcess) get(path string) (int, string) {
+	return p.getWith(path, platformtest.Headers("9c41", 5*time.Second))
+}
+
+// statusWithParts returns the status of a request with the given parts of a prompt.
+func (p *gatewayProcess) statusWithParts(parts string) int {
+	header := platformtest.Headers("9c42", 5*time.Second)
+	header.Set("X-Prefix-Hash", parts)
+	status, _ := p.getWith("/v1/", header)
+	return status
+}
+
+func (p *gatewayProcess) getWith(path string, header http.Header) (int, string) {
 	req, err := http.NewRequest("GET", "http://"+p.cfg.Listen+path, nil)
 	if err != nil {
 		return 0, err.Error()
 	}
 	req.Host = "a.example"
-	req.Header = platformtest.Headers("9c41", 5*time.Second)
+	req.Header = header
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
@@ -255,6 +268,30 @@
 	second.stop(g)
 }
 
+// Guards against a process that knows of a prompt part that crashes endpoints, but doesn't
+// tell its peers, doesn't store it, or doesn't keep to it.
+func TestProcess_SharesCrashingPromptParts(t *testing.T) {
+	s := newTestPlatform(t)
+	g := s.g
+	s.store.Put("config", "main", platformtest.Config(1))
+	first, second := s.start(t, "gw-1"), s.start(t, "gw-2")
+	g.Eventually(first.status("/v1/"), waitTimeout).Should(Equal(200))
+	g.Eventually(second.status("/v1/"), waitTimeout).Should(Equal(200))
+	g.Expect(second.statusWithParts("bad:10,own:10")).To(Equal(200))
+	first.poison.Merge([]poison.Entry{{Part: poison.PartOf("bad"), Epoch: 1, Probes: 1, ProbeInMS: 60_000}})
+	g.Eventually(func() int { return second.statusWithParts("bad:10,own:10") }, waitTimeout).Should(Equal(503))
+	g.Expect(second.statusWithParts("bad:10")).To(Equal(200), "the last part is the request's own")
+	g.Expect(second.statusWithParts("good:10,own:10")).To(Equal(200))
+	g.Eventually(func() string { return s.store.Value("poison", "parts") }, waitTimeout).Should(ContainSubstring(fmt.Sprintf("%q", fmt.Sprint(uint64(poison.PartOf("bad"))))))
+	first.stop(g)
+	second.stop(g)
+
+	third := s.start(t, "gw-3")
+	g.Eventually(third.status("/v1/"), waitTimeout).Should(Equal(200))
+	g.Eventually(func() int { return third.statusWithParts("bad:10,own:10") }, waitTimeout).Should(Equal(503), "from the store")
+	third.stop(g)
+}
+
 func TestProcess_KeepsServingDuringStoreOutage(t *testing.T) {
 	s := newTestPlatform(t)
 	g := s.g
--- a/pkg/poison/quarantine.go
+++ b/pkg/poison/quarantine.go
@@ -31,7 +31,7 @@
 	_ struct{} `cbor:",toarray"`
 	// Part is the part, Epoch the number of times that it was put into quarantine, and Probes
 	// the number of probes that were due since.
-	Part   Part   `json:"part"`
+	Part   Part   `json:"part,string"`
 	Epoch  uint64 `json:"epoch"`
 	Probes int    `json:"probes"`
 	// ProbeInMS is the time until a request with the part may be sent as a probe, in
