--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -125,9 +125,7 @@
 
 // statusWithParts returns the status of a request with the given parts of a prompt.
 func (p *gatewayProcess) statusWithParts(parts string) int {
-	header := platformtest.Headers("9c42", 5*time.Second)
-	header.Set("X-Prefix-Hash", parts)
-	status, _ := p.getWith("/v1/", header)
+	status, _ := p.getWith("/v1/", platformtest.HeadersWithParts("9c42", 5*time.Second, parts))
 	return status
 }
 
