--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -52,6 +52,22 @@
 	g.Expect(l.poison(now)).To(Equal([]Part{1}), "six crashes, frequent")
 	l, now = logOf(time.Millisecond, bad(20)...)
 	g.Expect(l.poison(now)).To(BeEmpty(), "twenty crashes at once")
+	among := func(n, every int) [][]Part {
+		var out [][]Part
+		for i := range n * every {
+			out = append(out, []Part{Part(100 + i)})
+			if i%every == 0 {
+				out[i] = append(out[i], 1)
+			}
+		}
+		return out[:len(out)-every+1]
+	}
+	l, now = logOf(200*time.Millisecond, among(9, 4)...)
+	g.Expect(l.poison(now)).To(BeEmpty(), "nine of 33 crashes, frequent")
+	l, now = logOf(200*time.Millisecond, among(10, 4)...)
+	g.Expect(l.poison(now)).To(Equal([]Part{1}), "ten of 37 crashes, frequent")
+	l, now = logOf(200*time.Millisecond, among(12, 6)...)
+	g.Expect(l.poison(now)).To(BeEmpty(), "less than a quarter of the crashes")
 	l, now = logOf(2*time.Second, bad(6, 2)...)
 	g.Expect(l.poison(now)).To(BeEmpty(), "two parts of the same crashes")
 	l, now = logOf(2*time.Second, bad(minCrashesTied, 2)...)
