--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -86,6 +86,11 @@
 	return ids
 }
 
+// content returns what the request asks of an endpoint.
+func (c *call) content() poison.Content {
+	return poison.Content{Method: c.r.Method, Host: c.r.Host, URI: c.r.RequestURI, Caller: c.workspaceName(), Body: c.body}
+}
+
 // exclude keeps further attempts of the call from using an endpoint.
 func (c *call) exclude(id string) {
 	if c.excluded == nil {
