Keep requests that crash endpoints and come again away from them

Cause: a crash counted only against parts of prompts that other requests share; a request without such parts, or one whose own content is the cause, left no trace, and each try ended further endpoints.

A request now has traits: its shared parts, its content (a hash of method, host, path, caller and body) and, with a prompt, the content with it. The same reports, quarantine, probes and stored list serve all of them. Whole requests have limits of their own: three crashes with no other beside, more beside others, and the first crash later than 3 s after the third in any case; an answer clears them. A request with three crashes isn't sent again for the same try. A part needs three different requests, so that a request that comes again isn't held against its parts.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -70,11 +70,11 @@
 	return ratelimit.Membership{Self: p.cfg.ID, IDs: p.node.MemberIDs(), Settled: p.registry.Settled()}
 }
 
-// newPoisonGuard returns the guard against prompt parts that crash endpoints.
+// newPoisonGuard returns the guard against requests that crash endpoints.
 func (p *process) newPoisonGuard() *poison.Guard {
 	return poison.New(poison.Options{
 		Ended: p.pool.Refuses, Broadcast: p.node.BroadcastCrashes, Metrics: p.metrics, Log: p.log, Now: time.Now,
-		MayProbe: func(part poison.Part) bool { return p.registry.Settled() && p.node.Owns(uint64(part)) },
+		MayProbe: func(t poison.Trait) bool { return p.registry.Settled() && p.node.Owns(uint64(t)) },
 	})
 }
 
--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -276,7 +276,7 @@
 	g.Eventually(first.status("/v1/"), waitTimeout).Should(Equal(200))
 	g.Eventually(second.status("/v1/"), waitTimeout).Should(Equal(200))
 	g.Expect(second.statusWithParts("bad:10,own:10")).To(Equal(200))
-	first.poison.Merge([]poison.Entry{{Part: poison.PartOf("bad"), Epoch: 1, Probes: 1, ProbeInMS: 60_000}})
+	first.poison.Merge([]poison.Entry{{Trait: poison.PartOf("bad"), Epoch: 1, Probes: 1, ProbeInMS: 60_000}})
 	g.Eventually(func() int { return second.statusWithParts("bad:10,own:10") }, waitTimeout).Should(Equal(503))
 	g.Expect(second.statusWithParts("bad:10")).To(Equal(200), "the last part is the request's own")
 	g.Expect(second.statusWithParts("good:10,own:10")).To(Equal(200))
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -33,10 +33,10 @@
 	priority         int
 	endpointPriority int
 
-	// parts holds the prompt's parts that other requests may share. probe is true if the
-	// request may be sent once though one of them is known to crash endpoints.
-	parts []poison.Part
-	probe bool
+	// traits holds what may be why the request crashes endpoints. probe is true if it may be
+	// sent once though it is known to crash them.
+	traits poison.Request
+	probe  bool
 
 	// attempts is the number of times that the request was sent, possibleRuns the
 	// number of those in which it may have run.
@@ -76,16 +76,22 @@
 	return max(1, s.Engine.EventTokens)
 }
 
-// sharedParts returns the ids of the prompt's parts that other requests may have too: all
-// but the last one.
-func (c *call) sharedParts() []string {
+// parts returns the ids of the prompt's parts.
+func (c *call) parts() []string {
 	var ids []string
-	for i := range len(c.meta.Prefix) - 1 {
-		ids = append(ids, c.meta.Prefix[i].ID)
+	for _, p := range c.meta.Prefix {
+		ids = append(ids, p.ID)
 	}
 	return ids
 }
 
+// sharedParts returns the ids of the prompt's parts that other requests may have too: all
+// but the last one.
+func (c *call) sharedParts() []string {
+	ids := c.parts()
+	return ids[:max(0, len(ids)-1)]
+}
+
 // content returns what the request asks of an endpoint.
 func (c *call) content() poison.Content {
 	return poison.Content{Method: c.r.Method, Host: c.r.Host, URI: c.r.RequestURI, Caller: c.workspaceName(), Body: c.body}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -137,7 +137,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{gateway: g, w: w, r: r, arrived: g.Now(), endpointPriority: defaultEndpointPriority}
-	for _, f := range []filter{g.findRoute, g.findWorkspace, g.checkPoison, g.readBody, g.chargeAllowance} {
+	for _, f := range []filter{g.findRoute, g.findWorkspace, g.readBody, g.checkPoison, g.chargeAllowance} {
 		if refused := f(c); refused != nil {
 			c.endProbe()
 			c.refuse(refused)
--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -10,83 +10,93 @@
 	"github.com/medlarsill/medlarsill/pkg/poison"
 )
 
-// PoisonGuard keeps requests with parts that crash endpoints away from them.
+// PoisonGuard keeps requests that crash endpoints away from them.
 type PoisonGuard interface {
-	// Check decides on a request with the given shared parts before it is sent.
-	Check(parts []poison.Part) poison.Verdict
-	// Blocked reports whether such a request must not be sent any more, and the time after
-	// which it may be tried again.
-	Blocked(parts []poison.Part) (retryAfter time.Duration, blocked bool)
+	// Check decides on a request before it is sent.
+	Check(r poison.Request) poison.Verdict
+	// Blocked decides on a request that was sent before.
+	Blocked(r poison.Request) poison.Verdict
+	// MayResend reports whether a request that broke off may be sent again.
+	MayResend(r poison.Request) bool
 	// ProbeNotSent records that a request that was to be a probe was not sent.
-	ProbeNotSent(parts []poison.Part)
-	// Survived records that an endpoint has answered such a request or goes on with its answer.
-	Survived(parts []poison.Part)
-	// BrokeOff records that the connection of such a request broke before that.
-	BrokeOff(e *endpoints.Endpoint, parts []poison.Part)
-	// Closed records that the answer to such a request ended with its connection, so that
-	// it may be complete or not.
-	Closed(e *endpoints.Endpoint, parts []poison.Part)
+	ProbeNotSent(r poison.Request)
+	// Survived records that an endpoint has answered a request or goes on with its answer.
+	Survived(r poison.Request)
+	// BrokeOff records that the connection of a request broke before that.
+	BrokeOff(e *endpoints.Endpoint, r poison.Request)
+	// Closed records that the answer to a request ended with its connection, so that it may
+	// be complete or not.
+	Closed(e *endpoints.Endpoint, r poison.Request)
 }
 
 // survivalTime is the time after its first event at which a stream shows that its request
 // didn't crash the endpoint.
 const survivalTime = 500 * time.Millisecond
 
-// reasonPoison is the reason of refusals of requests with poison parts.
-const reasonPoison = "a part of the prompt crashes endpoints"
+// Reasons of refusals of requests that crash endpoints.
+const (
+	reasonPoisonPart    = "a part of the prompt crashes endpoints"
+	reasonPoisonRequest = "the request crashes endpoints"
+)
 
-// checkPoison refuses a request with parts that crash endpoints.
-func (g *Gateway) checkPoison(c *call) *refusal {
-	for _, id := range c.sharedParts() {
-		c.parts = append(c.parts, poison.PartOf(id))
+// poisonReason returns the reason for a verdict that refuses a request.
+func poisonReason(v poison.Verdict) string {
+	if v.Whole {
+		return reasonPoisonRequest
 	}
-	if len(c.parts) == 0 {
-		return nil
-	}
-	v := g.Poison.Check(c.parts)
+	return reasonPoisonPart
+}
+
+// checkPoison refuses a request that crashes endpoints.
+func (g *Gateway) checkPoison(c *call) *refusal {
+	c.traits = poison.NewRequest(c.content(), c.parts())
+	v := g.Poison.Check(c.traits)
 	c.probe = v.Probe
 	if !v.Refused {
 		return nil
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: reasonPoison, retryAfter: v.RetryAfter}
+	return &refusal{status: http.StatusServiceUnavailable, reason: poisonReason(v), retryAfter: v.RetryAfter}
 }
 
-// poisoned reports whether the request must not be sent any more since a part of its prompt
-// crashes endpoints. A probe may be sent once.
-func (c *call) poisoned() bool {
-	if len(c.parts) == 0 || c.probe && c.attempts == 0 {
-		return false
+// poisoned returns why the request must not be sent any more since it crashes endpoints, or "".
+// A probe may be sent once.
+func (c *call) poisoned() string {
+	if c.probe && c.attempts == 0 {
+		return ""
+	}
+	v := c.gateway.Poison.Blocked(c.traits)
+	if v.Refused {
+		c.expectedWait = v.RetryAfter
 	}
-	retryAfter, blocked := c.gateway.Poison.Blocked(c.parts)
-	if blocked {
-		c.expectedWait = retryAfter
+	if v.Refused || c.probe {
+		return poisonReason(v)
 	}
-	return blocked || c.probe
+	return ""
 }
 
 // endProbe reports a probe that was not sent.
 func (c *call) endProbe() {
 	if c.probe && c.attempts == 0 {
-		c.gateway.Poison.ProbeNotSent(c.parts)
+		c.gateway.Poison.ProbeNotSent(c.traits)
 	}
 }
 
 // recordSurvival records, once, that the endpoint survived the beginning of the answer.
 func (a *attempt) recordSurvival() {
-	if a.survived || len(a.parts) == 0 {
+	if a.survived {
 		return
 	}
 	a.survived = true
-	a.gateway.Poison.Survived(a.parts)
+	a.gateway.Poison.Survived(a.traits)
 }
 
 // recordCompletion records that the answer is complete as far as its framing tells.
 func (a *attempt) recordCompletion(resp *http.Response) {
-	if len(a.parts) == 0 || a.survived {
+	if a.survived {
 		return
 	}
 	if endsWithConnection(resp) {
-		a.gateway.Poison.Closed(a.placement.Endpoint, a.parts)
+		a.gateway.Poison.Closed(a.placement.Endpoint, a.traits)
 		return
 	}
 	a.recordSurvival()
@@ -119,7 +129,7 @@
 	if !a.firstEvent.IsZero() && a.gateway.Now().Sub(a.firstEvent) >= survivalTime {
 		a.recordSurvival()
 	}
-	if !a.survived && len(a.parts) > 0 {
-		a.gateway.Poison.BrokeOff(a.placement.Endpoint, a.parts)
+	if !a.survived {
+		a.gateway.Poison.BrokeOff(a.placement.Endpoint, a.traits)
 	}
 }
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -65,9 +65,9 @@
 			c.failPlacement(ctx, err, last)
 			return
 		}
-		if c.poisoned() {
+		if reason := c.poisoned(); reason != "" {
 			p.End()
-			c.finish(ctx, outcome{state: last.state, reason: reasonPoison})
+			c.finish(ctx, outcome{state: last.state, reason: reason})
 			return
 		}
 		last = c.attempt(ctx, p)
@@ -88,7 +88,7 @@
 // mayRetry reports whether the request may be sent again, and if so deducts the
 // retry from the budget.
 func (c *call) mayRetry(last outcome) bool {
-	if c.deadline.Sub(c.gateway.Now()) < minTimeLeft || c.poisoned() {
+	if c.deadline.Sub(c.gateway.Now()) < minTimeLeft || c.poisoned() != "" {
 		return false
 	}
 	switch last.state {
@@ -100,7 +100,7 @@
 	case stateAnswered:
 		return true // mayRetryFailure has already deducted the retry
 	case stateUnknown:
-		return c.route.Repeatable() && c.possibleRuns < max(c.route.MaxAttempts, 1) && c.gateway.Retries.Allow(c.service)
+		return c.route.Repeatable() && c.possibleRuns < max(c.route.MaxAttempts, 1) && c.gateway.Poison.MayResend(c.traits) && c.gateway.Retries.Allow(c.service)
 	}
 	return false
 }
--- a/pkg/poison/content.go
+++ b/pkg/poison/content.go
@@ -18,12 +18,18 @@
 }
 
 // Hash returns a hash of the content from which it can't be told.
-func (c Content) Hash() uint64 {
+func (c Content) Hash() uint64 { return c.hash(nil) & hashMask }
+
+// hash returns a hash of the content and further fields.
+func (c Content) hash(further []string) uint64 {
 	h := sha256.New()
 	for _, field := range []string{c.Method, c.Host, c.URI, c.Caller} {
 		writeField(h, []byte(field))
 	}
 	writeField(h, c.Body)
+	for _, field := range further {
+		writeField(h, []byte(field))
+	}
 	return binary.BigEndian.Uint64(h.Sum(nil))
 }
 
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,20 +41,20 @@
 	Ended func(addr string) bool
 	// Broadcast sends an encoded report to all peers. It doesn't block.
 	Broadcast func(data []byte)
-	// MayProbe reports whether this instance is the one that sends the probes of a part.
-	MayProbe func(p Part) bool
+	// MayProbe reports whether this instance is the one that sends the probes of a trait.
+	MayProbe func(t Trait) bool
 	Metrics  prometheus.Registerer
 	Log      *slog.Logger
 	Now      func() time.Time
 }
 
-// Guard keeps requests with poison parts away from the endpoints. It is safe for concurrent
+// Guard keeps requests with poison traits away from the endpoints. It is safe for concurrent
 // use.
 type Guard struct {
 	Options
 	metrics *metrics
 	sound   recentlySound
-	// active is true while parts are in quarantine or suspected, so that nothing is locked
+	// active is true while traits are in quarantine or suspected, so that nothing is locked
 	// otherwise.
 	active atomic.Bool
 	// nextEntry counts the entries that were told to the peers.
@@ -66,20 +65,25 @@
 	quarantine quarantine
 	// checks holds the endpoints that are to be checked.
 	checks map[endpoints.Key]*check
-	// next is to be reported, and soundReported when parts were last reported as sound.
+	// lastCrash is when a crash was last reported; zero if all evidence has been evaluated.
+	lastCrash time.Time
+	// next is to be reported, and soundReported when traits were last reported as sound.
 	next          report
-	soundReported map[Part]time.Time
+	soundReported map[Trait]time.Time
 }
 
-// New returns a guard that knows of no poison parts.
+// New returns a guard that knows of no poison traits.
 func New(o Options) *Guard {
-	return &Guard{Options: o, metrics: newMetrics(o.Metrics), quarantine: newQuarantine(), checks: make(map[endpoints.Key]*check), soundReported: make(map[Part]time.Time)}
+	return &Guard{
+		Options: o, metrics: newMetrics(o.Metrics), log: newCrashLog(), quarantine: newQuarantine(),
+		checks: make(map[endpoints.Key]*check), soundReported: make(map[Trait]time.Time),
+	}
 }
 
-// check holds the parts of the requests whose connections to an endpoint ended at the same
-// moment: those that broke off, and those whose answers seem complete.
+// check holds the requests whose connections to an endpoint ended at the same moment: those
+// that broke off, and those whose answers seem complete.
 type check struct {
-	broken, complete []Part
+	broken, complete []Request
 }
 
 // Verdict says what is to be done with a request.
@@ -88,72 +92,91 @@
 	// may be tried again.
 	Refused    bool
 	RetryAfter time.Duration
-	// Probe is true if the request may be sent once, to check whether its parts are still
+	// Whole is true if it is refused as a whole, false if it is for a part of its prompt.
+	Whole bool
+	// Probe is true if the request may be sent once, to check whether its traits are still
 	// poison.
 	Probe bool
 }
 
-// Check decides on a request with the given shared parts before it is sent for the first
-// time.
-func (g *Guard) Check(parts []Part) Verdict {
+// Check decides on a request before it is sent for the first time.
+func (g *Guard) Check(r Request) Verdict {
 	if !g.active.Load() {
 		return Verdict{}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
-	entries, wait := g.quarantined(parts, now)
+	entries, v := g.quarantined(r, now)
 	if len(entries) == 0 {
 		return Verdict{}
 	}
-	if wait > 0 || !g.mayProbe(entries) {
+	if v.RetryAfter > 0 || !g.mayProbe(entries) {
 		g.metrics.refused.Inc()
-		return Verdict{Refused: true, RetryAfter: max(wait, probeRetryAfter)}
+		v.RetryAfter = max(v.RetryAfter, probeRetryAfter)
+		return v
 	}
-	for p, e := range entries {
-		e.scheduleProbe(now)
-		g.reportEntry(p, e, now)
+	for t, e := range entries {
+		e.scheduleProbe(t.kind(), now)
+		g.reportEntry(t, e, now)
 	}
 	g.metrics.probes.Inc()
-	g.Log.Info("probing prompt parts that crashed endpoints", "parts", len(entries))
+	g.Log.Info("probing request that crashed endpoints", "traits", len(entries))
 	return Verdict{Probe: true}
 }
 
-// Blocked reports whether a request with the given parts must not be sent any more, and the
-// time after which it may be tried again.
-func (g *Guard) Blocked(parts []Part) (retryAfter time.Duration, blocked bool) {
+// Blocked decides on a request that was sent before, or on a probe that waits. Its verdict is
+// never a probe.
+func (g *Guard) Blocked(r Request) Verdict {
 	if !g.active.Load() {
-		return 0, false
+		return Verdict{}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	entries, wait := g.quarantined(parts, g.Now())
-	return max(wait, probeRetryAfter), len(entries) > 0
+	_, v := g.quarantined(r, g.Now())
+	if v.Refused {
+		v.RetryAfter = max(v.RetryAfter, probeRetryAfter)
+	}
+	return v
 }
 
-// quarantined returns the entries of the parts that are in quarantine, and the time until
+// MayResend reports whether a request that broke off may be sent again for the same try of its
+// caller. One that has crashed several endpoints may not: its callers' further tries are
+// enough to tell whether it is poison.
+func (g *Guard) MayResend(r Request) bool {
+	if !g.active.Load() {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.log.suspectedRequest(r)
+}
+
+// quarantined returns the entries of the traits that are in quarantine, and the verdict until
 // all of them may be probed. The caller must hold mu.
-func (g *Guard) quarantined(parts []Part, now time.Time) (map[Part]*entry, time.Duration) {
-	var found map[Part]*entry
-	wait := time.Duration(0)
-	for _, p := range parts {
-		e, ok := g.quarantine.entries[p]
+func (g *Guard) quarantined(r Request, now time.Time) (map[Trait]*entry, Verdict) {
+	var found map[Trait]*entry
+	var v Verdict
+	for _, t := range r.traits() {
+		e, ok := g.quarantine.entries[t]
 		if !ok {
 			continue
 		}
 		if found == nil {
-			found = make(map[Part]*entry)
+			found = make(map[Trait]*entry)
 		}
-		found[p] = e
-		wait = max(wait, e.probeAt.Sub(now))
+		found[t] = e
+		v.Refused = true
+		v.Whole = v.Whole || t.kind() != kindPart
+		v.RetryAfter = max(v.RetryAfter, e.probeAt.Sub(now))
 	}
-	return found, wait
+	return found, v
 }
 
-// mayProbe reports whether this instance sends the probes of all parts.
-func (g *Guard) mayProbe(entries map[Part]*entry) bool {
-	for p := range entries {
-		if !g.MayProbe(p) {
+// mayProbe reports whether this instance sends the probes of all traits.
+func (g *Guard) mayProbe(entries map[Trait]*entry) bool {
+	for t := range entries {
+		if !g.MayProbe(t) {
 			return false
 		}
 	}
@@ -161,65 +184,64 @@
 }
 
 // ProbeNotSent records that a request that was to be a probe was not sent.
-func (g *Guard) ProbeNotSent(parts []Part) {
+func (g *Guard) ProbeNotSent(r Request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
-	entries, _ := g.quarantined(parts, now)
+	entries, _ := g.quarantined(r, now)
 	for _, e := range entries {
 		e.probeAt = now.Add(unsentProbeDelay)
 	}
 }
 
-// Survived records that an endpoint has answered a request with the given parts, or goes on
-// with the answer.
-func (g *Guard) Survived(parts []Part) {
+// Survived records that an endpoint has answered a request, or goes on with the answer.
+func (g *Guard) Survived(r Request) {
 	now := g.Now()
-	for _, p := range parts {
-		g.sound.record(p, now)
+	traits := r.traits()
+	for _, t := range traits {
+		g.sound.record(t, now)
 	}
 	if !g.active.Load() {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, p := range parts {
-		if g.clear(p, now) && now.Sub(g.soundReported[p]) >= soundReportInterval {
-			g.soundReported[p] = now
-			g.next.Sound = append(g.next.Sound, p)
+	for _, t := range traits {
+		if g.clear(t, now) && now.Sub(g.soundReported[t]) >= soundReportInterval {
+			g.soundReported[t] = now
+			g.next.Sound = append(g.next.Sound, t)
 		}
 	}
 }
 
-// clear drops what is held against a part. It reports whether there was anything. The
+// clear drops what is held against a trait. It reports whether there was anything. The
 // caller must hold mu.
-func (g *Guard) clear(p Part, now time.Time) bool {
-	released := g.quarantine.release(p, now)
+func (g *Guard) clear(t Trait, now time.Time) bool {
+	released := g.quarantine.release(t, now)
 	if released {
-		g.Log.Info("prompt part no longer crashes endpoints", "part", uint64(p))
+		g.Log.Info("request no longer crashes endpoints", "kind", t.kind().String(), "trait", t.hash())
 		g.updateMetrics()
 	}
-	if !g.log.suspected(p) {
+	if !g.log.suspected(t) {
 		return released
 	}
-	g.log.clear(p)
+	g.log.clear(t)
 	return true
 }
 
-// BrokeOff records that the connection of a request with the given parts broke before its
-// answer was under way for a while. If the endpoint has ended, that is evidence against
-// the parts.
-func (g *Guard) BrokeOff(e *endpoints.Endpoint, parts []Part) {
-	g.checkLater(e, func(c *check) { c.broken = append(c.broken, parts...) })
+// BrokeOff records that the connection of a request broke before its answer was under way
+// for a while. If the endpoint has ended, that is evidence against the request's traits.
+func (g *Guard) BrokeOff(e *endpoints.Endpoint, r Request) {
+	g.checkLater(e, func(c *check) { c.broken = append(c.broken, r) })
 }
 
-// Closed records that the answer to such a request ended with its connection. It may be
-// complete; if the endpoint has ended, that is evidence against the parts as well.
-func (g *Guard) Closed(e *endpoints.Endpoint, parts []Part) {
-	g.checkLater(e, func(c *check) { c.complete = append(c.complete, parts...) })
+// Closed records that the answer to a request ended with its connection. It may be complete;
+// if the endpoint has ended, that is evidence against the request's traits as well.
+func (g *Guard) Closed(e *endpoints.Endpoint, r Request) {
+	g.checkLater(e, func(c *check) { c.complete = append(c.complete, r) })
 }
 
-// checkLater adds parts to the next check of an endpoint. What ends at an endpoint that is
+// checkLater adds a request to the next check of an endpoint. What ends at an endpoint that is
 // leaving is no evidence.
 func (g *Guard) checkLater(e *endpoints.Endpoint, add func(c *check)) {
 	if e.Info().Leaving {
@@ -246,33 +268,50 @@
 	g.mu.Unlock()
 	if ended {
 		g.recordCrash(k, append(c.broken, c.complete...))
-	} else {
-		g.Survived(c.complete)
+		return
+	}
+	for _, r := range c.complete {
+		g.Survived(r)
 	}
 }
 
 // recordCrash records a crash that this instance has seen.
-func (g *Guard) recordCrash(k endpoints.Key, parts []Part) {
+func (g *Guard) recordCrash(k endpoints.Key, requests []Request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
 	g.metrics.crashes.Inc()
-	slices.Sort(parts)
-	parts = slices.Compact(parts)
-	parts = slices.DeleteFunc(parts, func(p Part) bool { return g.sound.has(p, now) })
-	g.Log.Info("endpoint ended with requests", "endpoint", k.ID, "suspected_parts", len(parts))
-	g.addCrash(processOf(k), parts, now)
-	g.next.Crashes = append(g.next.Crashes, crashReport{Process: processOf(k), Parts: parts})
+	suspected := g.suspected(requests, now)
+	g.Log.Info("endpoint ended with requests", "endpoint", k.ID, "requests", len(requests), "suspected_requests", len(suspected))
+	g.addCrash(processOf(k), suspected, now)
+	g.next.Crashes = append(g.next.Crashes, crashReport{Process: processOf(k), Requests: suspected})
 }
 
-// addCrash records a crash. The caller must hold mu.
-func (g *Guard) addCrash(p process, parts []Part, now time.Time) {
-	c := g.log.add(p, parts, now)
-	for part := range c.parts {
-		if _, ok := g.quarantine.entries[part]; ok {
-			c.explained = true
+// suspected returns the requests without the traits of which one was answered lately, and
+// without those that have no other. The caller must hold mu.
+func (g *Guard) suspected(requests []Request, now time.Time) []Request {
+	var out []Request
+	for _, r := range requests {
+		r.Parts = r.Parts[:min(len(r.Parts), maxParts)]
+		for _, t := range r.traits() {
+			if g.sound.has(t, now) {
+				r = r.without(t)
+			}
+		}
+		if len(r.traits()) > 0 {
+			out = append(out, r)
 		}
 	}
+	return out[:min(len(out), maxRequests)]
+}
+
+// addCrash records a crash. The caller must hold mu.
+func (g *Guard) addCrash(p process, requests []Request, now time.Time) {
+	c := g.log.add(p, requests, now)
+	for t := range g.quarantine.entries {
+		c.explain(t)
+	}
+	g.lastCrash = now
 	g.active.Store(true)
 }
 
@@ -287,15 +326,15 @@
 	defer g.mu.Unlock()
 	now := g.Now()
 	for _, c := range r.Crashes {
-		g.addCrash(c.Process, c.Parts, now)
+		g.addCrash(c.Process, c.Requests, now)
 	}
-	for _, p := range r.Sound {
-		g.clear(p, now)
+	for _, t := range r.Sound {
+		g.clear(t, now)
 	}
 	g.merge(r.Entries, now)
 }
 
-// Entries returns all parts in quarantine, sorted.
+// Entries returns all traits in quarantine, sorted.
 func (g *Guard) Entries() []Entry {
 	if !g.active.Load() {
 		return nil
@@ -305,7 +344,7 @@
 	return g.quarantine.list(g.Now())
 }
 
-// NextEntries returns some of the parts in quarantine for a message to the peers, in turn.
+// NextEntries returns some of the traits in quarantine for a message to the peers, in turn.
 func (g *Guard) NextEntries() []Entry {
 	list := g.Entries()
 	if len(list) <= entriesPerMessage {
@@ -315,7 +354,7 @@
 	return append(list[first:], list[:first]...)[:entriesPerMessage]
 }
 
-// Merge takes over parts in quarantine from a peer or from the store.
+// Merge takes over traits in quarantine from a peer or from the store.
 func (g *Guard) Merge(list []Entry) {
 	if len(list) == 0 {
 		return
@@ -327,10 +366,10 @@
 
 // merge is Merge for a caller that holds mu.
 func (g *Guard) merge(list []Entry, now time.Time) {
-	for _, p := range g.quarantine.merge(list, now) {
+	for _, t := range g.quarantine.merge(list, now) {
 		g.active.Store(true)
-		g.log.explain(p)
-		g.Log.Warn("prompt part crashes endpoints", "part", uint64(p), "source", "peer")
+		g.log.explain(t)
+		g.Log.Warn("request crashes endpoints", "kind", t.kind().String(), "trait", t.hash(), "source", "peer")
 	}
 	g.updateMetrics()
 }
@@ -359,9 +398,7 @@
 	defer g.mu.Unlock()
 	now := g.Now()
 	g.log.expire(now)
-	for _, p := range g.log.poison(now) {
-		g.convict(p, now)
-	}
+	g.evaluate(now)
 	g.quarantine.expire(now)
 	g.updateMetrics()
 	if count := len(g.next.Crashes); count > maxReportedCrashes {
@@ -372,26 +409,43 @@
 	for !g.next.empty() {
 		out = append(out, g.next.take())
 	}
-	maps.DeleteFunc(g.soundReported, func(_ Part, at time.Time) bool { return now.Sub(at) >= soundReportInterval })
+	maps.DeleteFunc(g.soundReported, func(_ Trait, at time.Time) bool { return now.Sub(at) >= soundReportInterval })
 	if len(g.log.crashes)+len(g.quarantine.entries)+len(g.quarantine.released) == 0 {
 		g.active.Store(false)
 	}
 	return out
 }
 
-// convict puts a part into quarantine. The caller must hold mu.
-func (g *Guard) convict(p Part, now time.Time) {
-	g.log.explain(p)
-	if !g.quarantine.add(p, now) {
+// evaluate puts traits against which there is enough evidence into quarantine. The caller must
+// hold mu.
+func (g *Guard) evaluate(now time.Time) {
+	if g.lastCrash.IsZero() {
+		return
+	}
+	for _, find := range []func(now time.Time) []Trait{g.log.poisonParts, g.log.poisonRequests} {
+		for _, t := range find(now) {
+			g.convict(t, now)
+		}
+	}
+	if now.Sub(g.lastCrash) >= settleTime {
+		g.lastCrash = time.Time{}
+	}
+}
+
+// convict puts a trait into quarantine. The caller must hold mu.
+func (g *Guard) convict(t Trait, now time.Time) {
+	late := g.log.lateCrashes(t, now)
+	g.log.explain(t)
+	if !g.quarantine.add(t, late, now) {
 		return
 	}
-	g.Log.Warn("prompt part crashes endpoints", "part", uint64(p), "source", "own evidence")
-	g.reportEntry(p, g.quarantine.entries[p], now)
+	g.Log.Warn("request crashes endpoints", "kind", t.kind().String(), "trait", t.hash(), "source", "own evidence")
+	g.reportEntry(t, g.quarantine.entries[t], now)
 }
 
 // reportEntry adds an entry to the next report. The caller must hold mu.
-func (g *Guard) reportEntry(p Part, e *entry, now time.Time) {
-	g.next.Entries = append(g.next.Entries, e.toEntry(p, now))
+func (g *Guard) reportEntry(t Trait, e *entry, now time.Time) {
+	g.next.Entries = append(g.next.Entries, e.toEntry(t, now))
 }
 
 func (g *Guard) updateMetrics() { g.metrics.quarantined.Set(float64(len(g.quarantine.entries))) }
--- a/pkg/poison/keeper.go
+++ b/pkg/poison/keeper.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	// stateKey is the key of the object that holds the parts in quarantine.
+	// stateKey is the key of the object that holds the traits in quarantine.
 	stateKey = "poison/parts"
 	// saveInterval is the least time between two writes of the object, and between two
 	// attempts to read it.
 	saveInterval = 500 * time.Millisecond
 )
 
-// Keeper keeps the parts in quarantine in the object store, for a start of all instances:
+// Keeper keeps the traits in quarantine in the object store, for a start of all instances:
 // one that starts alone hears of them from its peers.
 type Keeper struct {
 	Guard *Guard
@@ -39,7 +39,7 @@
 	Parts []Entry `json:"parts"`
 }
 
-// Run reads the stored parts once and then stores changes until the context ends.
+// Run reads the stored traits once and then stores changes until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.stored = lease.State{Store: k.Store, Key: stateKey}
 	loaded := false
@@ -52,16 +52,16 @@
 	return nil
 }
 
-// load reads the stored parts. It reports whether that is done.
+// load reads the stored traits. It reports whether that is done.
 func (k *Keeper) load(ctx context.Context) bool {
 	var r record
 	_, err := k.stored.Load(ctx, &r)
 	if errors.Is(err, lease.ErrStateUnreadable) {
-		k.Log.Error("failed to decode quarantined prompt parts; starting without them", "error", err.Error())
+		k.Log.Error("failed to decode quarantined traits of requests; starting without them", "error", err.Error())
 		return true
 	}
 	if err != nil {
-		k.Log.Warn("failed to read quarantined prompt parts", "error", err.Error())
+		k.Log.Warn("failed to read quarantined traits of requests", "error", err.Error())
 		return false
 	}
 	k.saved = r.Parts
@@ -69,7 +69,7 @@
 	return true
 }
 
-// save stores the parts if they have changed.
+// save stores the traits if they have changed.
 func (k *Keeper) save(ctx context.Context) {
 	list := k.Guard.Entries()
 	if sameEntries(list, k.saved) {
@@ -77,18 +77,18 @@
 	}
 	err := k.stored.Save(ctx, record{Parts: list})
 	if errors.Is(err, lease.ErrStateConflict) {
-		// The holder before has written the object. This instance knows its parts from the
+		// The holder before has written the object. This instance knows its traits from the
 		// peers; only the version is missing.
 		_, err = k.stored.Load(ctx, &record{})
 	} else if err == nil {
 		k.saved = list
 	}
 	if err != nil {
-		k.Log.Warn("failed to store quarantined prompt parts", "error", err.Error())
+		k.Log.Warn("failed to store quarantined traits of requests", "error", err.Error())
 	}
 }
 
 // sameEntries reports whether two lists are the same but for the times of the probes.
 func sameEntries(a, b []Entry) bool {
-	return slices.EqualFunc(a, b, func(x, y Entry) bool { return x.Part == y.Part && x.Epoch == y.Epoch && x.Probes == y.Probes })
+	return slices.EqualFunc(a, b, func(x, y Entry) bool { return x.Trait == y.Trait && x.Epoch == y.Epoch && x.Probes == y.Probes })
 }
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -22,12 +22,19 @@
 // start is the time at which these tests begin.
 var start = time.Unix(1_000_000, 0)
 
-// logOf returns a log with a crash of another process after each pause.
-func logOf(pause time.Duration, crashes ...[]Part) (*crashLog, time.Time) {
-	l := &crashLog{}
+// partsOf returns the n-th request, with the given shared parts.
+func partsOf(n int, parts ...Trait) Request {
+	return Request{Content: newTrait(kindContent, uint64(n)), Parts: parts}
+}
+
+// logOf returns a log with a crash of another process after each pause, each with another
+// request.
+func logOf(pause time.Duration, crashes ...[]Trait) (*crashLog, time.Time) {
+	log := newCrashLog()
+	l := &log
 	now := start
 	for n, parts := range crashes {
-		l.add(process(n+1), parts, now)
+		l.add(process(n+1), []Request{partsOf(n, parts...)}, now)
 		now = now.Add(pause)
 	}
 	return l, now.Add(settleTime)
@@ -35,27 +42,27 @@
 
 func TestCrashLog_Thresholds(t *testing.T) {
 	g := NewWithT(t)
-	bad := func(n int, also ...Part) [][]Part {
-		var out [][]Part
+	bad := func(n int, also ...Trait) [][]Trait {
+		var out [][]Trait
 		for i := range n {
-			out = append(out, append([]Part{1, Part(100 + i)}, also...))
+			out = append(out, append([]Trait{1, Trait(100 + i)}, also...))
 		}
 		return out
 	}
 	l, now := logOf(2*time.Second, bad(3)...)
-	g.Expect(l.poison(now)).To(BeEmpty(), "three crashes")
+	g.Expect(l.poisonParts(now)).To(BeEmpty(), "three crashes")
 	l, now = logOf(2*time.Second, bad(4)...)
-	g.Expect(l.poison(now)).To(Equal([]Part{1}), "four crashes, rare")
+	g.Expect(l.poisonParts(now)).To(Equal([]Trait{1}), "four crashes, rare")
 	l, now = logOf(200*time.Millisecond, bad(5)...)
-	g.Expect(l.poison(now)).To(BeEmpty(), "five crashes, frequent")
+	g.Expect(l.poisonParts(now)).To(BeEmpty(), "five crashes, frequent")
 	l, now = logOf(200*time.Millisecond, bad(6)...)
-	g.Expect(l.poison(now)).To(Equal([]Part{1}), "six crashes, frequent")
+	g.Expect(l.poisonParts(now)).To(Equal([]Trait{1}), "six crashes, frequent")
 	l, now = logOf(time.Millisecond, bad(20)...)
-	g.Expect(l.poison(now)).To(BeEmpty(), "twenty crashes at once")
-	among := func(n, every int) [][]Part {
-		var out [][]Part
+	g.Expect(l.poisonParts(now)).To(BeEmpty(), "twenty crashes at once")
+	among := func(n, every int) [][]Trait {
+		var out [][]Trait
 		for i := range n * every {
-			out = append(out, []Part{Part(100 + i)})
+			out = append(out, []Trait{Trait(100 + i)})
 			if i%every == 0 {
 				out[i] = append(out[i], 1)
 			}
@@ -63,46 +70,48 @@
 		return out[:len(out)-every+1]
 	}
 	l, now = logOf(200*time.Millisecond, among(9, 4)...)
-	g.Expect(l.poison(now)).To(BeEmpty(), "nine of 33 crashes, frequent")
+	g.Expect(l.poisonParts(now)).To(BeEmpty(), "nine of 33 crashes, frequent")
 	l, now = logOf(200*time.Millisecond, among(10, 4)...)
-	g.Expect(l.poison(now)).To(Equal([]Part{1}), "ten of 37 crashes, frequent")
+	g.Expect(l.poisonParts(now)).To(Equal([]Trait{1}), "ten of 37 crashes, frequent")
 	l, now = logOf(200*time.Millisecond, among(12, 6)...)
-	g.Expect(l.poison(now)).To(BeEmpty(), "less than a quarter of the crashes")
+	g.Expect(l.poisonParts(now)).To(BeEmpty(), "less than a quarter of the crashes")
 	l, now = logOf(2*time.Second, bad(6, 2)...)
-	g.Expect(l.poison(now)).To(BeEmpty(), "two parts of the same crashes")
-	l, now = logOf(2*time.Second, bad(minCrashesTied, 2)...)
-	g.Expect(l.poison(now)).To(Equal([]Part{1, 2}), "two parts of many crashes")
+	g.Expect(l.poisonParts(now)).To(BeEmpty(), "two parts of the same crashes")
+	l, now = logOf(2*time.Second, bad(minPartCrashesTied, 2)...)
+	g.Expect(l.poisonParts(now)).To(Equal([]Trait{1, 2}), "two parts of many crashes")
 	l, now = logOf(2*time.Second, bad(6, 2)...)
 	l.clear(2)
-	g.Expect(l.poison(now)).To(Equal([]Part{1}), "one of them was answered")
+	g.Expect(l.poisonParts(now)).To(Equal([]Trait{1}), "one of them was answered")
 	l, now = logOf(2*time.Second, bad(6)...)
 	l.explain(1)
-	g.Expect(l.poison(now)).To(BeEmpty(), "crashes that are explained")
-	g.Expect(l.suspected(100)).To(BeFalse())
+	g.Expect(l.poisonParts(now)).To(BeEmpty(), "crashes that are explained")
+	l.expire(now.Add(2 * crashRetention))
+	g.Expect(l.crashes).To(BeEmpty())
+	g.Expect(l.mentions).To(BeEmpty())
 }
 
 // Property: whatever crashes are reported, the log is bounded and blames only parts of at
 // least four of them that weren't answered since.
 func TestCrashLog_BlamesOnlyPartsOfSeveralCrashes(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		l := &crashLog{}
+		l := newCrashLog()
 		now := start
-		since := make(map[Part]map[process]bool)
+		since := make(map[Trait]map[process]bool)
 		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pause")) * time.Millisecond)
-			p := Part(rapid.IntRange(1, 6).Draw(rt, "part"))
+			p := Trait(rapid.IntRange(1, 6).Draw(rt, "part"))
 			if rapid.IntRange(0, 3).Draw(rt, "step") == 0 {
 				l.clear(p)
 				delete(since, p)
 				continue
 			}
 			ended := process(rapid.IntRange(1, 300).Draw(rt, "process"))
-			l.add(ended, []Part{p}, now)
+			l.add(ended, []Request{partsOf(rapid.IntRange(1, 20).Draw(rt, "request"), p)}, now)
 			if since[p] == nil {
 				since[p] = make(map[process]bool)
 			}
 			since[p][ended] = true
-			for _, blamed := range l.poison(now) {
+			for _, blamed := range l.poisonParts(now) {
 				if len(since[blamed]) < 4 {
 					rt.Fatalf("part %d was blamed for %d crashes", blamed, len(since[blamed]))
 				}
@@ -117,15 +126,15 @@
 func TestQuarantine_ProbesLessAndLessOften(t *testing.T) {
 	g := NewWithT(t)
 	q := newQuarantine()
-	g.Expect(q.add(1, start)).To(BeTrue())
-	g.Expect(q.add(1, start)).To(BeFalse())
+	g.Expect(q.add(1, 0, start)).To(BeTrue())
+	g.Expect(q.add(1, 0, start)).To(BeFalse())
 	e := q.entries[1]
 	g.Expect(e.probeAt.Sub(start)).To(Equal(checkDelay))
 	now := start.Add(checkDelay + checkPeriod)
 	q.expire(now)
 	g.Expect(e.probeAt.Sub(now)).To(Equal(firstProbeDelay), "no probe was sent within the period")
 	for _, want := range []time.Duration{60 * time.Second, 120 * time.Second, 240 * time.Second, 480 * time.Second, maxProbeDelay, maxProbeDelay} {
-		e.scheduleProbe(now)
+		e.scheduleProbe(kindPart, now)
 		g.Expect(e.probeAt.Sub(now)).To(Equal(want))
 	}
 	q.expire(e.probeAt.Add(forgetTime + time.Second))
@@ -135,27 +144,30 @@
 func TestQuarantine_MergeKeepsNewerState(t *testing.T) {
 	g := NewWithT(t)
 	q := newQuarantine()
-	g.Expect(q.merge([]Entry{{Part: 1, Epoch: 1, Probes: 2, ProbeInMS: 1000}}, start)).To(Equal([]Part{1}))
-	g.Expect(q.merge([]Entry{{Part: 1, Epoch: 1, Probes: 1, ProbeInMS: 0}}, start)).To(BeEmpty())
+	g.Expect(q.merge([]Entry{{Trait: 1, Epoch: 1, Probes: 2, ProbeInMS: 1000}}, start)).To(Equal([]Trait{1}))
+	g.Expect(q.merge([]Entry{{Trait: 1, Epoch: 1, Probes: 1, ProbeInMS: 0}}, start)).To(BeEmpty())
 	g.Expect(q.entries[1].probeAt).To(Equal(start.Add(time.Second)), "fewer probes are older")
-	q.merge([]Entry{{Part: 1, Epoch: 1, Probes: 3, ProbeInMS: 1 << 62}}, start)
-	g.Expect(q.entries[1].probeAt).To(Equal(start.Add(maxProbeDelay)))
+	q.merge([]Entry{{Trait: 1, Epoch: 1, Probes: 3, ProbeInMS: 1 << 62}}, start)
+	g.Expect(q.entries[1].probeAt).To(Equal(start.Add(lastProbeDelay)))
 	q.release(1, start)
-	g.Expect(q.merge([]Entry{{Part: 1, Epoch: 1, Probes: 3}}, start)).To(BeEmpty(), "a peer that hasn't heard of the release")
-	g.Expect(q.merge([]Entry{{Part: 1, Epoch: 2}}, start)).To(Equal([]Part{1}), "a later quarantine")
-	for p := range Part(2 * maxQuarantined) {
-		q.merge([]Entry{{Part: p, Epoch: 1}}, start)
+	g.Expect(q.merge([]Entry{{Trait: 1, Epoch: 1, Probes: 3}}, start)).To(BeEmpty(), "a peer that hasn't heard of the release")
+	g.Expect(q.merge([]Entry{{Trait: 1, Epoch: 2}}, start)).To(Equal([]Trait{1}), "a later quarantine")
+	for p := range Trait(2 * maxQuarantined) {
+		q.merge([]Entry{{Trait: p, Epoch: 1}}, start)
 	}
 	g.Expect(len(q.entries)).To(Equal(maxQuarantined))
 }
 
 func TestReport_IsSplitIntoDatagrams(t *testing.T) {
 	g := NewWithT(t)
-	parts := make([]Part, 700)
-	for i := range parts {
-		parts[i] = Part(1<<63 + uint64(i))
+	requests := make([]Request, 700)
+	for i := range requests {
+		requests[i] = Request{Content: newTrait(kindContent, hashMask-uint64(i)), Prompt: newTrait(kindPrompt, hashMask-uint64(i))}
+		for n := range i % (maxParts + 1) {
+			requests[i].Parts = append(requests[i].Parts, newTrait(kindPart, hashMask-uint64(n)))
+		}
 	}
-	r := report{Crashes: []crashReport{{Process: 1, Parts: parts}, {Process: 2}}, Sound: []Part{7}}
+	r := report{Crashes: []crashReport{{Process: 1, Requests: requests}, {Process: 2}}, Sound: []Trait{7}}
 	seen, crashes := 0, make(map[process]bool)
 	for !r.empty() {
 		next := r.take()
@@ -165,7 +177,7 @@
 		out, err := decodeReport(data)
 		g.Expect(err).NotTo(HaveOccurred())
 		for _, c := range out.Crashes {
-			seen += len(c.Parts)
+			seen += len(c.Requests)
 			crashes[c.Process] = true
 		}
 	}
@@ -176,7 +188,7 @@
 // newGuard returns a guard on a clock, of which each endpoint has ended.
 func newGuard(now func() time.Time) *Guard {
 	return New(Options{
-		Ended: func(string) bool { return true }, Broadcast: func([]byte) {}, MayProbe: func(Part) bool { return true },
+		Ended: func(string) bool { return true }, Broadcast: func([]byte) {}, MayProbe: func(Trait) bool { return true },
 		Metrics: prometheus.NewRegistry(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: now,
 	})
 }
@@ -195,21 +207,27 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		guard := newGuard(time.Now)
-		next := Part(0)
-		for n := range 1000 {
-			parts := make([]Part, 1000)
+		next := Trait(0)
+		for n := range 200 {
+			e := endpoint(n)
+			parts := make([]Trait, 1000)
 			for i := range parts {
 				next++
 				parts[i] = next
+				guard.BrokeOff(e, partsOf(int(next), next+1<<40))
 			}
-			guard.BrokeOff(endpoint(n), parts)
-			guard.Survived(parts)
+			guard.BrokeOff(e, partsOf(0, parts...))
+			guard.Survived(partsOf(0, parts...))
 			time.Sleep(100 * time.Millisecond)
 			guard.Tick()
 		}
 		g.Expect(len(guard.log.crashes)).To(BeNumerically("<=", maxCrashes))
+		g.Expect(len(guard.log.mentions)).To(BeNumerically("<=", maxCrashes*maxRequests*maxRequestTraits))
 		for _, c := range guard.log.crashes {
-			g.Expect(len(c.parts)).To(BeNumerically("<=", maxParts))
+			g.Expect(len(c.requests)).To(BeNumerically("<=", maxRequests))
+			for _, r := range c.requests {
+				g.Expect(len(r.Parts)).To(BeNumerically("<=", maxParts))
+			}
 		}
 		for i := range guard.sound {
 			g.Expect(len(guard.sound[i].at)).To(BeNumerically("<=", maxSoundParts))
@@ -223,16 +241,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		guard := newGuard(time.Now)
-		bad := []Part{1}
+		bad := Request{Parts: []Trait{1}}
 		for n := range 4 {
-			guard.BrokeOff(endpoint(n), bad)
+			guard.BrokeOff(endpoint(n), partsOf(n, 1))
 			time.Sleep(2 * time.Second)
 			guard.Tick()
 		}
-		v := guard.Check([]Part{7, 1})
+		v := guard.Check(Request{Parts: []Trait{7, 1}})
 		g.Expect(v.Refused).To(BeTrue())
 		g.Expect(v.RetryAfter).To(BeNumerically(">", 0))
-		g.Expect(guard.Check([]Part{7})).To(Equal(Verdict{}), "other parts")
+		g.Expect(guard.Check(Request{Parts: []Trait{7}})).To(Equal(Verdict{}), "other parts")
 		time.Sleep(checkDelay)
 		g.Expect(guard.Check(bad)).To(Equal(Verdict{Probe: true}))
 		g.Expect(guard.Check(bad).Refused).To(BeTrue(), "one probe only")
@@ -241,8 +259,7 @@
 		g.Expect(guard.Check(bad)).To(Equal(Verdict{Probe: true}), "the probe was not sent")
 		guard.Survived(bad)
 		g.Expect(guard.Check(bad)).To(Equal(Verdict{}))
-		_, blocked := guard.Blocked(bad)
-		g.Expect(blocked).To(BeFalse())
+		g.Expect(guard.Blocked(bad).Refused).To(BeFalse())
 		g.Expect(testutil.ToFloat64(guard.metrics.probes)).To(Equal(2.0))
 		g.Expect(testutil.ToFloat64(guard.metrics.crashes)).To(Equal(4.0))
 	})
@@ -262,7 +279,7 @@
 		first := newGuard(time.Now)
 		stop := run(first, true)
 		time.Sleep(2 * saveInterval)
-		first.Merge([]Entry{{Part: 5, Epoch: 1, Probes: 1, ProbeInMS: 20_000}})
+		first.Merge([]Entry{{Trait: 5, Epoch: 1, Probes: 1, ProbeInMS: 20_000}})
 		time.Sleep(2 * saveInterval)
 		stop()
 
@@ -273,13 +290,13 @@
 		g.Expect(second.Entries()).To(BeEmpty(), "while the store is down")
 		store.SetHook(nil)
 		time.Sleep(2 * saveInterval)
-		g.Expect(second.Check([]Part{5}).Refused).To(BeTrue())
+		g.Expect(second.Check(Request{Parts: []Trait{5}}).Refused).To(BeTrue())
 		stop()
 	})
 }
 
 func FuzzReceive(f *testing.F) {
-	r := report{Crashes: []crashReport{{Process: 1, Parts: []Part{1}}}, Sound: []Part{2}, Entries: []Entry{{Part: 3, Epoch: 1}}}
+	r := report{Crashes: []crashReport{{Process: 1, Requests: []Request{partsOf(1, 1)}}}, Sound: []Trait{2}, Entries: []Entry{{Trait: 3, Epoch: 1}}}
 	data, _ := r.encode()
 	f.Add(data)
 	f.Add([]byte{0xff})
--- a/pkg/poison/report.go
+++ b/pkg/poison/report.go
@@ -7,7 +7,7 @@
 
 // Bounds on one report, so that it fits into a datagram.
 const (
-	maxReportParts   = 256
+	maxReportTraits  = 256
 	maxReportCrashes = 32
 )
 
@@ -17,19 +17,19 @@
 // report is what an instance tells all others at once.
 type report struct {
 	_ struct{} `cbor:",toarray"`
-	// Crashes holds the crashes that the instance has seen, and Sound suspected parts of
+	// Crashes holds the crashes that the instance has seen, and Sound suspected traits of
 	// which it has seen a request answered.
 	Crashes []crashReport
-	Sound   []Part
-	// Entries holds parts whose quarantine has changed.
+	Sound   []Trait
+	// Entries holds traits whose quarantine has changed.
 	Entries []Entry
 }
 
-// crashReport is a crash with the parts of the requests that broke off.
+// crashReport is a crash with the requests that broke off.
 type crashReport struct {
-	_       struct{} `cbor:",toarray"`
-	Process process
-	Parts   []Part
+	_        struct{} `cbor:",toarray"`
+	Process  process
+	Requests []Request
 }
 
 func (r *report) empty() bool { return len(r.Crashes)+len(r.Sound)+len(r.Entries) == 0 }
@@ -50,20 +50,35 @@
 // take removes and returns the next part of what is to be reported that fits into one
 // datagram.
 func (r *report) take() report {
-	out := report{Sound: cut(&r.Sound, maxReportParts), Entries: cut(&r.Entries, maxReportCrashes)}
-	left := maxReportParts - len(out.Sound)
-	for len(r.Crashes) > 0 && len(out.Crashes) < maxReportCrashes && left > 0 {
+	out := report{Sound: cut(&r.Sound, maxReportTraits), Entries: cut(&r.Entries, maxReportCrashes)}
+	left := maxReportTraits - len(out.Sound)
+	for len(r.Crashes) > 0 && len(out.Crashes) < maxReportCrashes && left >= maxRequestTraits {
 		c := &r.Crashes[0]
-		parts := cut(&c.Parts, left)
-		left -= len(parts)
-		out.Crashes = append(out.Crashes, crashReport{Process: c.Process, Parts: parts})
-		if len(c.Parts) == 0 {
+		requests := cut(&c.Requests, requestsWithin(c.Requests, left))
+		for _, q := range requests {
+			left -= len(q.traits())
+		}
+		out.Crashes = append(out.Crashes, crashReport{Process: c.Process, Requests: requests})
+		if len(c.Requests) == 0 {
 			r.Crashes = r.Crashes[1:]
 		}
 	}
 	return out
 }
 
+// maxRequestTraits is the largest number of traits of one request.
+const maxRequestTraits = maxParts + 2
+
+// requestsWithin returns how many of the first requests have no more traits than the limit.
+func requestsWithin(requests []Request, limit int) int {
+	for n, r := range requests {
+		if limit -= len(r.traits()); limit < 0 {
+			return n
+		}
+	}
+	return len(requests)
+}
+
 // cut removes and returns the first elements of a list, at most n.
 func cut[T any](list *[]T, n int) []T {
 	n = min(n, len(*list))
