poison: wait for the better explanation, and hold parts to more evidence

Requests that account for the same crashes are now kept away together only from the first crash later than 3 s after the third on; within these 3 s the sound ones are answered. Parts need seven, nine or eleven crashes while crashes are frequent (six, eight, ten before), by five different requests.

--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -25,40 +25,32 @@
 	backgroundTime = 3 * time.Second
 )
 
-// Limits on the evidence against parts.
-const (
-	// minPartRequests is the number of different requests that have to account for a part:
-	// one that is sent again and again may be the cause by itself.
-	minPartRequests = 3
-	// minPartCrashesTied is the number of crashes from which on several parts that account
-	// for the same crashes are all taken for poison.
-	minPartCrashesTied = 12
-)
+// minPartCrashesTied is the number of crashes from which on several parts that account for the
+// same crashes are all taken for poison.
+const minPartCrashesTied = 12
 
-// Limits on the evidence against whole requests.
-const (
-	// minRequestCrashesTied is the number of crashes from which on several requests that
-	// account for the same crashes are all taken for poison.
-	minRequestCrashesTied = 5
-	// minRequestCrashesRivalled is the number of crashes from which on a request is taken for
-	// poison though another accounts for more of the same.
-	minRequestCrashesRivalled = 6
-	// requestCrashes is the number of crashes under one request that show that it may well be
-	// their cause.
-	requestCrashes = 3
-)
+// requestCrashes is the number of crashes under one request that show that it may well be their
+// cause.
+const requestCrashes = 3
+
+// partThreshold is the evidence from which on a part is taken for poison: the number of crashes
+// that it accounts for, and that of the different requests that broke off with them. One that
+// is sent again and again may be the cause by itself, or unlucky.
+type partThreshold struct {
+	crashes, requests int
+}
 
-// partThresholds holds the number of crashes from which on a part is taken for poison, by the
-// share of all crashes in that time that it accounts for. The more crashes there are beside,
-// the more of them a sound part meets by chance.
+// partThresholds holds the thresholds by the share of all crashes in that time that a part
+// accounts for. The more crashes there are beside, the more of them a sound part meets by
+// chance.
 var partThresholds = []struct {
 	share float64
-	// crashes applies while crashes are rare, whenFrequent while they are frequent.
-	crashes, whenFrequent int
+	// rare applies while crashes are rare, frequent while they are frequent.
+	rare, frequent partThreshold
 }{
-	{share: 0.75, crashes: 4, whenFrequent: 6},
-	{share: 0.4, crashes: 5, whenFrequent: 8},
-	{share: 0.25, crashes: 6, whenFrequent: 10},
+	{share: 0.9, rare: partThreshold{crashes: 4, requests: 3}, frequent: partThreshold{crashes: 7, requests: 5}},
+	{share: 0.4, rare: partThreshold{crashes: 5, requests: 3}, frequent: partThreshold{crashes: 9, requests: 5}},
+	{share: 0.25, rare: partThreshold{crashes: 6, requests: 3}, frequent: partThreshold{crashes: 11, requests: 5}},
 }
 
 // requestThresholds holds the same for whole requests. They need fewer crashes, as a sound
@@ -211,19 +203,19 @@
 
 // sufficientForPart reports whether evidence is enough to take a part for poison.
 func (e *evidence) sufficientForPart() bool {
-	if len(e.requests) < minPartRequests {
-		return false
-	}
 	all := e.last().index - e.first().index + 1
 	frequent := float64(all-1) > frequentCrashes*e.last().at.Sub(e.first().at).Seconds()
 	for _, t := range partThresholds {
 		if float64(e.crashes()) < t.share*float64(all) {
 			continue
 		}
+		need := t.rare
 		if frequent {
-			return e.crashes() >= t.whenFrequent
+			need = t.frequent
+		}
+		if e.crashes() >= need.crashes && len(e.requests) >= need.requests {
+			return true
 		}
-		return e.crashes() >= t.crashes
 	}
 	return false
 }
@@ -282,7 +274,8 @@
 }
 
 // requestHasRival reports whether another request, or a part that several requests share, may
-// account for a crash under the request t just as well.
+// account for a crash under the request t just as well. After graceTime no other request is
+// waited for to be answered.
 func (l *crashLog) requestHasRival(t Trait, requests, parts findings) bool {
 	own := requests.evidence[t]
 	for rival, other := range parts.evidence {
@@ -290,12 +283,11 @@
 			return true
 		}
 	}
-	if own.crashes() >= minRequestCrashesRivalled {
+	if own.lateCrashes() > 0 {
 		return false
 	}
 	for rival, other := range requests.evidence {
-		stronger := other.crashes() > own.crashes() || other.crashes() == own.crashes() && own.crashes() < minRequestCrashesTied
-		if rival != t && rival.kind() == t.kind() && stronger && l.together(t, rival, (*crash).countsForRequests) {
+		if rival != t && rival.kind() == t.kind() && other.crashes() >= own.crashes() && l.together(t, rival, (*crash).countsForRequests) {
 			return true
 		}
 	}
@@ -311,7 +303,7 @@
 	if len(e.requests) > 1 {
 		return part.crashes() >= e.crashes()
 	}
-	return part.crashes() > e.crashes() && e.crashes() < minRequestCrashesRivalled
+	return part.crashes() > e.crashes() && e.lateCrashes() == 0
 }
 
 // together reports whether there is a crash that counts under both of two traits.
