Read versions of endpoints' software and which stream a request resumes, and log both

'endpoint registered' has the version, 'attempt failed' and 'answered' the request that began the stream; nothing decides by them yet.

--- a/pkg/endpoints/endpoint.go
+++ b/pkg/endpoints/endpoint.go
@@ -18,6 +18,8 @@
 	Service    string
 	Addr       string
 	DataCentre string
+	// Version is the version of its software; "" if unknown. Versions are names without an order.
+	Version string
 	// Slots is the number of requests that it runs at once; 0 if unknown.
 	Slots int
 	// Born is the start of its process in Unix milliseconds; 0 if unknown.
--- a/pkg/endpoints/follow.go
+++ b/pkg/endpoints/follow.go
@@ -110,7 +110,7 @@
 	existing, ok := f.Table.ByID(i.ID)
 	switch {
 	case !ok || !existing.Info().sameProcess(i):
-		f.Log.Info("endpoint registered", "endpoint", i.ID, "service", i.Service, "data_centre", i.DataCentre, "leaving", i.Leaving, "reclaimable", i.Reclaimable)
+		f.Log.Info("endpoint registered", "endpoint", i.ID, "service", i.Service, "data_centre", i.DataCentre, "version", i.Version, "leaving", i.Leaving, "reclaimable", i.Reclaimable)
 	case i.Leaving && !existing.Info().Leaving:
 		f.Log.Info("endpoint leaving", "endpoint", i.ID, "service", i.Service, "left", i.LeavesIn)
 	}
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -125,7 +125,7 @@
 	if c.attempts > 1 || sampled(c.meta.ID) {
 		level = slog.LevelInfo
 	}
-	g.Log.Log(context.Background(), level, "answered", "request", c.meta.ID, "status", status, "endpoint", endpoint,
+	g.Log.Log(context.Background(), level, "answered", "request", c.meta.ID, "resumes", c.meta.Resumes, "status", status, "endpoint", endpoint,
 		"attempts", c.attempts, "after_ms", took.Milliseconds())
 }
 
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -36,6 +36,9 @@
 	// LastEvent is the id of the event after which a stream is resumed; "" means
 	// from the start.
 	LastEvent string
+	// Resumes is the id of the request that brought the first event of the stream that this
+	// one resumes; "" if it begins one.
+	Resumes string
 }
 
 // Forwarding holds the values that the gateway adds to a forwarded request.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -77,7 +77,7 @@
 		c.exclude(p.Endpoint.ID)
 		g.Log.Info("attempt failed", "request", c.meta.ID, "endpoint", p.Endpoint.ID, "state", last.state.String(),
 			"reason", last.reason, "attempt", c.attempts, "left_ms", c.deadline.Sub(g.Now()).Milliseconds(),
-			"last_event", c.lastEvent, "running", p.Endpoint.TotalLoad().Running, "expected_ms", p.Expected.Milliseconds(), "parts", c.sharedParts(), "content", c.content().Hash(), g.KnownState())
+			"last_event", c.lastEvent, "resumes", c.meta.Resumes, "version", p.Endpoint.Info().Version, "running", p.Endpoint.TotalLoad().Running, "expected_ms", p.Expected.Milliseconds(), "parts", c.sharedParts(), "content", c.content().Hash(), g.KnownState())
 		if ctx.Err() != nil || !c.mayRetry(last) {
 			c.finish(ctx, last)
 			return
