poison: a whole request is known after four crashes, and late ones all count as probes

All crashes count for the probes now, and four are needed at once; the first later than 3 s after the third is still enough.

--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -59,7 +59,7 @@
 	share   float64
 	crashes int
 }{
-	{share: 0.9, crashes: requestCrashes},
+	{share: 0.9, crashes: 4},
 	{share: 0.6, crashes: 5},
 	{share: 0.4, crashes: 6},
 	{share: 0.25, crashes: 7},
@@ -323,11 +323,21 @@
 	return count >= requestCrashes
 }
 
-// lateCrashes returns the number of late crashes under a whole request; 0 for a part.
-func (l *crashLog) lateCrashes(t Trait, now time.Time) int {
+// lateCrashes returns the number of crashes under a whole request, those of the last moment too,
+// that came later than graceTime after there were enough to suspect it; 0 for a part.
+func (l *crashLog) lateCrashes(t Trait) int {
 	if t.kind() == kindPart {
 		return 0
 	}
-	f := l.requestFindings(now)
-	return f.of(t).lateCrashes()
+	var times []time.Time
+	for _, c := range l.crashes {
+		if c.has(t) {
+			times = append(times, c.at)
+		}
+	}
+	if len(times) < requestCrashes {
+		return 0
+	}
+	end := times[requestCrashes-1].Add(graceTime)
+	return len(slices.DeleteFunc(times, func(at time.Time) bool { return !at.After(end) }))
 }
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -434,7 +434,7 @@
 
 // convict puts a trait into quarantine. The caller must hold mu.
 func (g *Guard) convict(t Trait, now time.Time) {
-	late := g.log.lateCrashes(t, now)
+	late := g.log.lateCrashes(t)
 	g.log.explain(t)
 	if !g.quarantine.add(t, late, now) {
 		return
