Streams go on only at the software version that began them

Cause: the version wasn't read, so that every endpoint of a service counted as able to go on with a stream, within one answer and for a caller that takes it up.

Each endpoint has a build: its service and version, or its process if the version isn't known. The scheduler places a stream that has begun only at endpoints of its build; one that waits for these doesn't hold up others. Where a stream began is told to two keepers by rendezvous hash before its first event goes out; an instance at which a caller takes it up asks the keepers. A stream that nobody knows, or that names no beginning, is refused with 503 and not run.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -10,6 +10,7 @@
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/gossip"
 	"github.com/medlarsill/medlarsill/pkg/objectstore/counted"
+	"github.com/medlarsill/medlarsill/pkg/origin"
 	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
@@ -56,8 +57,10 @@
 	ip := netip.MustParseAddr(p.cfg.IP)
 	p.node = gossip.NewNode(gossip.Options{
 		ID: p.cfg.ID, Boot: boot, Listen: netip.AddrPortFrom(ip, uint16(p.cfg.PeerPort)),
-		Fill: p.fillMessage, OnMessage: p.receive, OnChanges: p.watches.ReceiveBatch, OnCrashes: func(data []byte) { p.poison.Receive(data) }, Log: p.log, Now: time.Now,
+		Fill: p.fillMessage, OnMessage: p.receive, OnChanges: p.watches.ReceiveBatch, OnCrashes: func(data []byte) { p.poison.Receive(data) },
+		OnStreams: func(from string, data []byte) { p.origins.Receive(from, data) }, Log: p.log, Now: time.Now,
 	})
+	p.origins = origin.New(origin.Options{Peers: p.node.ReachablePeerIDs, Send: p.node.SendStreams, Metrics: p.metrics, Log: p.log, Now: time.Now})
 	p.peerLoads = endpoints.NewPeerLoads(p.table, p.node.PeerTimeout, time.Now)
 	p.registry = &gossip.Registry{Store: p.store, Node: p.node, Log: p.log, Now: time.Now, MayRemove: func() bool {
 		_, held := p.dutyLease.Held()
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -24,6 +24,7 @@
 	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/logging"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
+	"github.com/medlarsill/medlarsill/pkg/origin"
 	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/retry"
@@ -76,6 +77,7 @@
 	rateLimits       *ratelimit.Limits
 	backoffs         *backoff.Backoffs
 	poison           *poison.Guard
+	origins          *origin.Registry
 	pool             *upstream.Pool
 	gateway          *gateway.Gateway
 	ingress          *ingress.Server
@@ -116,7 +118,7 @@
 	p.poison = p.newPoisonGuard()
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.allowances,
-		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs, Poison: p.poison,
+		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs, Poison: p.poison, Origins: p.origins,
 		Pool: p.pool, Metrics: gateway.NewMetrics(p.metrics), Log: log, KnownState: p.knownState, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
 	})
 	p.setUpDuties(client)
--- a/pkg/endpoints/endpoint.go
+++ b/pkg/endpoints/endpoint.go
@@ -45,7 +45,7 @@
 
 // sameProcess reports whether two registrations are of the same process of an endpoint.
 func (i Info) sameProcess(o Info) bool {
-	return i.ID == o.ID && i.Born == o.Born && i.Addr == o.Addr && i.Service == o.Service
+	return i.ID == o.ID && i.Born == o.Born && i.Addr == o.Addr && i.Service == o.Service && i.Version == o.Version
 }
 
 // Load is the number of requests and prompt tokens in progress on an endpoint.
@@ -64,6 +64,7 @@
 	Addr       string
 	DataCentre string
 	born       int64
+	build      Build
 
 	mu       sync.Mutex
 	info     Info
@@ -76,7 +77,7 @@
 }
 
 func newEndpoint(i Info) *Endpoint {
-	e := &Endpoint{ID: i.ID, Service: i.Service, Addr: i.Addr, DataCentre: i.DataCentre, born: i.Born}
+	e := &Endpoint{ID: i.ID, Service: i.Service, Addr: i.Addr, DataCentre: i.DataCentre, born: i.Born, build: i.Build()}
 	e.update(i)
 	return e
 }
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -47,6 +47,12 @@
 	return e, ok
 }
 
+// Replaced reports whether the id of an endpoint is registered for another build than its own.
+func (t *Table) Replaced(e *Endpoint) bool {
+	registered, ok := t.ByID(e.ID)
+	return ok && registered.Build() != e.Build()
+}
+
 // All returns every registered endpoint, sorted by id.
 func (t *Table) All() []*Endpoint {
 	t.mu.Lock()
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 	"github.com/medlarsill/medlarsill/pkg/schedule"
@@ -45,6 +46,9 @@
 	excluded     map[string]bool
 	// lastEvent is the id of the latest event that the caller has received.
 	lastEvent string
+	// build is the build at which the stream began, and the only one at which it may go on; 0
+	// before its first event.
+	build endpoints.Build
 	// expectedWait is the expected time until an endpoint has a free slot; set if the
 	// call could not be placed in time.
 	expectedWait time.Duration
@@ -61,7 +65,7 @@
 func (c *call) placementRequest() schedule.Request {
 	return schedule.Request{
 		Service: c.service, Route: c.route.Name, EventTokens: c.eventTokens(), MaxEventGap: c.route.GapTarget, Priority: c.priority, Arrived: c.firstSent, Target: c.route.Target, Deadline: c.deadline,
-		Prompt: c.meta.Prompt, Output: c.meta.Output, OutputHint: c.meta.OutputHint, Parts: c.meta.Prefix, Avoid: c.excluded,
+		Prompt: c.meta.Prompt, Output: c.meta.Output, OutputHint: c.meta.OutputHint, Parts: c.meta.Prefix, Avoid: c.excluded, Build: c.build,
 		Retry: len(c.excluded) > 0,
 	}
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -75,6 +75,19 @@
 	// MarkLeaving marks an endpoint as accepting no new requests, for good. It reports
 	// whether that is news.
 	MarkLeaving(e *endpoints.Endpoint) bool
+	// Service returns the endpoints of a service that accept new requests.
+	Service(name string) []*endpoints.Endpoint
+	// Replaced reports whether an endpoint's id is registered for another build than its own.
+	Replaced(e *endpoints.Endpoint) bool
+}
+
+// Origins knows at which builds streams began.
+type Origins interface {
+	// Record records the build at which the stream of a caller's request began or goes on.
+	Record(caller, id string, b endpoints.Build)
+	// Find returns the build at which the stream of a caller's request began, or false if that
+	// isn't known.
+	Find(ctx context.Context, caller, id string) (endpoints.Build, bool)
 }
 
 // Options holds the dependencies of a Gateway. All fields are required.
@@ -91,7 +104,9 @@
 	// Backoffs keeps the times until which endpoints want no requests.
 	Backoffs Backoffs
 	// Poison keeps requests that crash endpoints away from them.
-	Poison  PoisonGuard
+	Poison PoisonGuard
+	// Origins knows at which builds streams began.
+	Origins Origins
 	Pool    *upstream.Pool
 	Metrics *Metrics
 	Log     *slog.Logger
@@ -137,7 +152,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{gateway: g, w: w, r: r, arrived: g.Now(), endpointPriority: defaultEndpointPriority}
-	for _, f := range []filter{g.findRoute, g.findWorkspace, g.readBody, g.checkPoison, g.chargeAllowance} {
+	for _, f := range []filter{g.findRoute, g.findWorkspace, g.readBody, g.checkPoison, g.findOrigin, g.chargeAllowance} {
 		if refused := f(c); refused != nil {
 			c.endProbe()
 			c.refuse(refused)
--- /dev/null
+++ b/pkg/gateway/origin.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
+)
+
+// originRetryAfter is the Retry-After of requests that resume a stream where it can't go on
+// now.
+const originRetryAfter = time.Second
+
+// resumes reports whether the request takes up a stream that an earlier one began.
+func (c *call) resumes() bool {
+	return c.isStream() && (c.meta.Resumes != "" || c.meta.LastEvent != "")
+}
+
+// findOrigin finds the build at which a stream began that the caller takes up, and the service
+// with that build. A stream goes on at no other build, and one whose build isn't known doesn't.
+func (g *Gateway) findOrigin(c *call) *refusal {
+	if !c.resumes() {
+		return nil
+	}
+	var known bool
+	if c.meta.Resumes != "" {
+		c.build, known = g.Origins.Find(c.r.Context(), c.workspaceName(), c.meta.Resumes)
+	}
+	if !known {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "not known which version began the stream", retryAfter: originRetryAfter}
+	}
+	if !c.chooseServiceOfBuild() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no endpoint of the version that began the stream", retryAfter: originRetryAfter}
+	}
+	return nil
+}
+
+// chooseServiceOfBuild sets the service to one of the route's that has an endpoint with the
+// stream's build. It returns false if there is none.
+func (c *call) chooseServiceOfBuild() bool {
+	for _, w := range c.route.Split {
+		if slices.ContainsFunc(c.gateway.Endpoints.Service(w.Service), func(e *endpoints.Endpoint) bool { return e.Build() == c.build }) {
+			c.service = w.Service
+			return true
+		}
+	}
+	return false
+}
+
+// recordBuild records, before the first event of an attempt is written, at which build the
+// stream begins or goes on. It returns false if the events may be of another build than the
+// endpoint's, as its id has been registered for another one meanwhile.
+func (a *attempt) recordBuild() bool {
+	if !a.firstEvent.IsZero() {
+		return true
+	}
+	e := a.placement.Endpoint
+	if a.gateway.Endpoints.Replaced(e) {
+		return false
+	}
+	a.build = e.Build()
+	begun := a.meta.Resumes
+	if begun == "" {
+		begun = a.meta.ID
+	}
+	a.gateway.Origins.Record(a.workspaceName(), begun, a.build)
+	return true
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -35,7 +35,7 @@
 		if end := bytes.LastIndex(buf[searched:], eventEnd); end >= 0 {
 			events := buf[:searched+end+len(eventEnd)]
 			if !a.writeEvents(rc, resp, events) {
-				return outcome{state: stateUnknown, reason: "events out of order"}
+				return outcome{state: stateUnknown, reason: "events don't continue the stream"}
 			}
 			buf = append(buf[:0], buf[len(events):]...)
 		}
@@ -54,11 +54,12 @@
 	return !a.firstEvent.IsZero() || a.headerSent && !endsWithConnection(resp)
 }
 
-// writeEvents writes complete events to the caller and flushes them. It reports
-// whether they directly follow the last event that the caller has received.
+// writeEvents writes complete events to the caller and flushes them. It reports whether they
+// directly follow the last event that the caller has received, and are of the build that began
+// the stream.
 func (a *attempt) writeEvents(rc *http.ResponseController, resp *http.Response, events []byte) bool {
 	first, last, count := eventIDs(events)
-	if !follows(a.lastEvent, first) {
+	if !follows(a.lastEvent, first) || !a.recordBuild() {
 		return false
 	}
 	if !a.headerSent {
--- a/pkg/gossip/changes.go
+++ b/pkg/gossip/changes.go
@@ -35,7 +35,40 @@
 	}
 }
 
-// receiveBroadcast passes on what a peer has broadcast. A message with an unknown sender,
+// directedMessage is a message to one peer.
+type directedMessage struct {
+	peer    string
+	message Message
+}
+
+// SendStreams sends a message on streams to a peer. It doesn't block: if the queue is full, the
+// message is dropped and logged, as datagrams may be lost anyway.
+func (n *Node) SendStreams(peer string, data []byte) {
+	select {
+	case n.directed <- directedMessage{peer: peer, message: Message{Streams: data}}:
+	default:
+		n.Log.Warn("failed to send message on streams", "peer", peer, "reason", "send queue full")
+	}
+}
+
+// sendTo sends a message to one peer, unless it has left meanwhile.
+func (n *Node) sendTo(conn *net.UDPConn, d directedMessage) {
+	n.mu.Lock()
+	p, ok := n.peers[d.peer]
+	n.mu.Unlock()
+	if !ok {
+		return
+	}
+	d.message.ID, d.message.Boot = n.ID, n.Boot
+	data, err := encode(d.message)
+	if err != nil {
+		n.Log.Error("failed to send message on streams", "peer", d.peer, "error", err.Error())
+		return
+	}
+	write(conn, data, p.addr)
+}
+
+// receiveBroadcast passes on what a peer has sent outside its regular messages. A message with an unknown sender,
 // boot number or address is ignored, since it tells where requests may be sent.
 func (n *Node) receiveBroadcast(m Message, from netip.AddrPort) {
 	if !n.fromKnownPeer(m, from) {
@@ -48,6 +81,9 @@
 	if m.Crashes != nil {
 		n.OnCrashes(m.Crashes)
 	}
+	if m.Streams != nil {
+		n.OnStreams(m.ID, m.Streams)
+	}
 }
 
 // fromKnownPeer reports whether a message has the newest known boot number of its sender
--- a/pkg/gossip/members.go
+++ b/pkg/gossip/members.go
@@ -76,20 +76,23 @@
 	return true
 }
 
-// ReachablePeers returns the number of reachable peers.
-func (n *Node) ReachablePeers() int {
+// ReachablePeerIDs returns the ids of the reachable peers.
+func (n *Node) ReachablePeerIDs() []string {
 	timeout := n.PeerTimeout()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	reachable := 0
-	for _, p := range n.peers {
+	ids := make([]string, 0, len(n.peers))
+	for id, p := range n.peers {
 		if n.Now().Sub(p.lastSeen) <= timeout {
-			reachable++
+			ids = append(ids, id)
 		}
 	}
-	return reachable
+	return ids
 }
 
+// ReachablePeers returns the number of reachable peers.
+func (n *Node) ReachablePeers() int { return len(n.ReachablePeerIDs()) }
+
 // SeenWithin reports whether a message of a peer was received within the last d.
 func (n *Node) SeenWithin(id string, d time.Duration) bool {
 	n.mu.Lock()
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -61,7 +61,10 @@
 	// Crashes holds a report of crashed endpoints. Apart from the sender, such a message has
 	// no other fields.
 	Crashes []byte `cbor:"16,keyasint,omitempty"`
-	// Quarantine holds parts of prompts that crash endpoints.
+	// Streams holds a message on where streams began. Apart from the sender, such a message
+	// has no other fields.
+	Streams []byte `cbor:"18,keyasint,omitempty"`
+	// Quarantine holds what requests have in common that crash endpoints.
 	Quarantine []poison.Entry `cbor:"17,keyasint,omitempty"`
 	// RateLimits holds some of the endpoints' rate limits that the sender knows of.
 	RateLimits []ratelimit.Report `cbor:"15,keyasint,omitempty"`
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -30,6 +30,8 @@
 	maxFirstTarget = 1 << 20
 	// maxBroadcasts is the largest number of queued broadcasts.
 	maxBroadcasts = 64
+	// maxDirected is the largest number of queued messages to single peers.
+	maxDirected = 1024
 )
 
 // Options configures a Node. All fields are required.
@@ -45,6 +47,8 @@
 	OnMessage func(m Message)
 	OnChanges func(data []byte)
 	OnCrashes func(data []byte)
+	// OnStreams is called with a peer's messages on streams.
+	OnStreams func(from string, data []byte)
 	Log       *slog.Logger
 	Now       func() time.Time
 }
@@ -67,6 +71,8 @@
 	leftBoots map[string]uint64
 	// broadcasts queues messages that are to be sent to all peers at once.
 	broadcasts chan Message
+	// directed queues messages to one peer each.
+	directed chan directedMessage
 	// leaveRequests carries the requests of Leave; isLeaving is true from then on.
 	leaveRequests chan chan struct{}
 	isLeaving     bool
@@ -95,7 +101,7 @@
 	return &Node{
 		Options: o, peers: make(map[string]*peer), members: 1, nextTarget: int(rendezvous.Key(o.ID) % maxFirstTarget),
 		newPeers:   make(chan netip.AddrPort, maxNewPeers),
-		broadcasts: make(chan Message, maxBroadcasts), leftBoots: make(map[string]uint64), leaveRequests: make(chan chan struct{}),
+		broadcasts: make(chan Message, maxBroadcasts), directed: make(chan directedMessage, maxDirected), leftBoots: make(map[string]uint64), leaveRequests: make(chan chan struct{}),
 	}
 }
 
@@ -122,7 +128,7 @@
 		}
 		switch {
 		case m.ID == n.ID:
-		case m.Changes != nil, m.Crashes != nil:
+		case m.Changes != nil, m.Crashes != nil, m.Streams != nil:
 			n.receiveBroadcast(m, from)
 		case n.accept(m, from):
 			n.OnMessage(m)
@@ -206,6 +212,8 @@
 			write(conn, newest, addr)
 		case m := <-n.broadcasts:
 			n.sendToAll(conn, m)
+		case d := <-n.directed:
+			n.sendTo(conn, d)
 		case <-ticker.C:
 			newest = n.message(newest)
 			for _, addr := range n.targets() {
--- /dev/null
+++ b/pkg/origin/origin.go
@@ -0,0 +1,159 @@
+// Package origin remembers at which build of an endpoint's software each stream began, so that
+// a caller that takes the stream up at another instance gets it from the same build.
+//
+// The instance at which a stream begins tells two others, its keepers, which are found by a
+// rendezvous hash of the stream's id. An instance that doesn't know a stream asks those that
+// are its keepers now or were until lately. What nobody knows stays unknown. Messages are
+// datagrams; nothing is stored.
+package origin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"log/slog"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/rendezvous"
+)
+
+const (
+	// keepers is the number of other instances that are told of a stream.
+	keepers = 2
+	// maxAsked is the largest number of instances that are asked for a stream: its keepers,
+	// and those that were before others joined or left.
+	maxAsked = 6
+	// askInterval is the time after which instances that haven't answered are asked again, and
+	// maxAsks the number of times that they are asked.
+	askInterval = 40 * time.Millisecond
+	maxAsks     = 3
+)
+
+// Options configures a Registry. All fields are required.
+type Options struct {
+	// Peers returns the ids of the reachable peers.
+	Peers func() []string
+	// Send sends a message to a peer. It doesn't block, and the message may be lost.
+	Send    func(peer string, data []byte)
+	Metrics prometheus.Registerer
+	Log     *slog.Logger
+	Now     func() time.Time
+}
+
+// Registry knows where streams began. It is safe for concurrent use.
+type Registry struct {
+	Options
+	metrics *metrics
+	known   memory
+	asked   questions
+}
+
+// New returns a registry that knows of no stream.
+func New(o Options) *Registry { return &Registry{Options: o, metrics: newMetrics(o.Metrics)} }
+
+// key identifies a stream. It is a hash of its caller and of the id of the request that began
+// it, so that no caller learns of the streams of others.
+type key uint64
+
+func keyOf(caller, id string) key {
+	h := sha256.New()
+	// A hash never returns an error.
+	_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(caller))))
+	_, _ = h.Write([]byte(caller))
+	_, _ = h.Write([]byte(id))
+	return key(binary.BigEndian.Uint64(h.Sum(nil)))
+}
+
+// Record records the build at which the stream of a caller's request began or goes on, and
+// tells the stream's keepers.
+func (r *Registry) Record(caller, id string, b endpoints.Build) {
+	k := keyOf(caller, id)
+	r.known.add(k, b, r.Now())
+	m := message{Begun: []record{{Key: k, Build: b}}}
+	for _, peer := range r.closest(k, keepers) {
+		r.send(peer, m)
+	}
+}
+
+// closest returns the reachable peers that rank first for a key, at most n.
+func (r *Registry) closest(k key, n int) []string {
+	ranked := rendezvous.RankHash(uint64(k), r.Peers())
+	return ranked[:min(n, len(ranked))]
+}
+
+// Find returns the build at which the stream of a caller's request began, or false if that
+// isn't known.
+func (r *Registry) Find(ctx context.Context, caller, id string) (endpoints.Build, bool) {
+	k := keyOf(caller, id)
+	b, ok := r.known.find(k, r.Now())
+	if !ok {
+		b, ok = r.ask(ctx, k)
+	}
+	r.metrics.found.WithLabelValues(foundLabel(ok)).Inc()
+	return b, ok
+}
+
+// ask asks peers for a stream, until one knows it, or all have answered that they don't.
+func (r *Registry) ask(ctx context.Context, k key) (endpoints.Build, bool) {
+	peers := r.closest(k, maxAsked)
+	if len(peers) == 0 {
+		return 0, false
+	}
+	q := r.asked.open(k, peers)
+	defer r.asked.close(q)
+	for range maxAsks {
+		for _, peer := range r.asked.waitingFor(q) {
+			r.send(peer, message{Asked: []key{k}})
+		}
+		select {
+		case b := <-q.result:
+			return b, b != 0
+		case <-ctx.Done():
+			return 0, false
+		case <-time.After(askInterval):
+		}
+	}
+	r.Log.Info("peers didn't answer where a stream began", "asked", len(peers), "unanswered", len(r.asked.waitingFor(q)))
+	return 0, false
+}
+
+// Receive records and answers what a peer has sent.
+func (r *Registry) Receive(from string, data []byte) {
+	m, err := decode(data)
+	if err != nil {
+		r.Log.Warn("failed to decode message on streams from peer", "peer", from, "error", err.Error())
+		return
+	}
+	now := r.Now()
+	for _, begun := range m.Begun {
+		r.known.add(begun.Key, begun.Build, now)
+	}
+	for _, a := range m.Answers {
+		if a.Build != 0 {
+			r.known.add(a.Key, a.Build, now)
+		}
+		r.asked.answer(from, a.Key, a.Build)
+	}
+	var answers []record
+	for _, k := range m.Asked {
+		b, _ := r.known.find(k, now)
+		answers = append(answers, record{Key: k, Build: b})
+	}
+	if len(answers) > 0 {
+		r.send(from, message{Answers: answers})
+	}
+}
+
+// send encodes a message and sends it to a peer.
+func (r *Registry) send(peer string, m message) {
+	data, err := m.encode()
+	if err != nil {
+		r.Log.Error("failed to encode message on streams", "error", err.Error())
+		return
+	}
+	r.metrics.messages.Inc()
+	r.Send(peer, data)
+}
--- a/pkg/rendezvous/rendezvous.go
+++ b/pkg/rendezvous/rendezvous.go
@@ -29,12 +29,14 @@
 }
 
 // Rank returns the nodes sorted by descending weight for a key, then by name.
-func Rank(key string, nodes []string) []string {
+func Rank(key string, nodes []string) []string { return RankHash(Key(key), nodes) }
+
+// RankHash is Rank for a key that is a hash already.
+func RankHash(k uint64, nodes []string) []string {
 	type ranked struct {
 		node   string
 		weight uint64
 	}
-	k := Key(key)
 	all := make([]ranked, len(nodes))
 	for i, n := range nodes {
 		all[i] = ranked{node: n, weight: Weight(k, n)}
--- a/pkg/schedule/choose.go
+++ b/pkg/schedule/choose.go
@@ -62,7 +62,7 @@
 	var pausedFree []*endpoints.Endpoint
 	anyUnpaused := false
 	for _, e := range list {
-		if r.Avoid[e.ID] || !s.Limits.Available(e.Key()) {
+		if !r.accepts(e) || !s.Limits.Available(e.Key()) {
 			continue
 		}
 		paused := e.Paused(now)
--- a/pkg/schedule/limits.go
+++ b/pkg/schedule/limits.go
@@ -55,7 +55,7 @@
 func (s *Scheduler) limitsUsedUp(r Request) error {
 	wait, found := time.Duration(0), false
 	for _, e := range s.Endpoints.Service(r.Service) {
-		if r.Avoid[e.ID] {
+		if !r.accepts(e) {
 			continue
 		}
 		if s.Limits.Available(e.Key()) {
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -82,8 +82,18 @@
 	Retry bool
 	// Avoid holds the ids of endpoints on which this request must not be placed.
 	Avoid map[string]bool
+	// Build is the only build at which this request may be placed; 0 means any.
+	Build endpoints.Build
 }
 
+// accepts reports whether the request may be placed on an endpoint.
+func (r Request) accepts(e *endpoints.Endpoint) bool {
+	return !r.Avoid[e.ID] && (r.Build == 0 || e.Build() == r.Build)
+}
+
+// restricted reports whether the request may not be placed on all endpoints of its service.
+func (r Request) restricted() bool { return len(r.Avoid) > 0 || r.Build != 0 }
+
 // Endpoints lists the endpoints of a service that accept new requests.
 type Endpoints interface {
 	Service(name string) []*endpoints.Endpoint
@@ -174,7 +184,7 @@
 		q.mu.Unlock()
 		return nil, busy
 	}
-	if limit <= 0 || q.expectedWait(w) > limit || s.avoidsAll(r) {
+	if limit <= 0 || q.expectedWait(w) > limit || s.acceptsNone(r) {
 		q.mu.Unlock()
 		return nil, ErrBusy
 	}
@@ -201,13 +211,9 @@
 	return list[0].Info().Slots
 }
 
-// avoidsAll reports whether the request must avoid all endpoints of its service. It
-// returns false if it avoids none.
-func (s *Scheduler) avoidsAll(r Request) bool {
-	if len(r.Avoid) == 0 {
-		return false
-	}
-	return !slices.ContainsFunc(s.Endpoints.Service(r.Service), func(e *endpoints.Endpoint) bool { return !r.Avoid[e.ID] })
+// acceptsNone reports whether a restricted request may be placed on no endpoint of its service.
+func (s *Scheduler) acceptsNone(r Request) bool {
+	return r.restricted() && !slices.ContainsFunc(s.Endpoints.Service(r.Service), r.accepts)
 }
 
 func (s *Scheduler) waitForSlot(ctx context.Context, q *queue, w *waiter, limit time.Duration) (*Placement, error) {
@@ -287,17 +293,23 @@
 	}
 }
 
-// grantWaiting places waiting requests in order until one can't be placed. It refuses
-// those that wait in vain, as the limits of all endpoints are used up. The caller holds
-// the queue's lock.
+// grantWaiting places waiting requests in order until one can't be placed that may be placed
+// on any endpoint. It refuses those that wait in vain, as the limits of all endpoints are used
+// up or no endpoint is left that they may be placed on. The caller holds the queue's lock.
 func (s *Scheduler) grantWaiting(q *queue, now time.Time) {
-	for len(q.waiting) > 0 {
-		w := q.waiting[0]
+	for i := 0; i < len(q.waiting); {
+		w := q.waiting[i]
 		p, err := s.tryPlace(w.request, now)
-		if p == nil && !isLimited(err) {
-			return
+		if p == nil && s.acceptsNone(w.request) {
+			err = ErrBusy
+		} else if p == nil && !isLimited(err) {
+			if !w.request.restricted() {
+				return
+			}
+			i++
+			continue
 		}
-		q.waiting = q.waiting[1:]
+		q.waiting = slices.Delete(q.waiting, i, i+1)
 		w.result <- placementResult{placement: p, err: err}
 	}
 }
