poison: instances that don't reach each other exchange their quarantine through the store

An instance that is cut off from its peers but reaches the store counts as in touch, and went on with a request that the others kept away, as they did with its. The first instance of those that reach each other now writes the stored list, and reads it every second while some aren't reachable; one that reaches less than half sends no probes.

--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -55,13 +55,14 @@
 	})
 }
 
-// keepQuarantine keeps the prompt parts that crash endpoints in the store, for a start of
-// all instances.
+// keepQuarantine keeps what requests have in common that crash endpoints in the store, for a
+// start of all instances and for instances that don't reach each other.
 func (p *process) keepQuarantine(ctx context.Context) error {
-	k := poison.Keeper{Guard: p.poison, Store: p.store, Log: p.log, Held: func() bool {
-		_, held := p.dutyLease.Held()
-		return held
-	}}
+	k := poison.Keeper{
+		Guard: p.poison, Store: p.store, Log: p.log,
+		Writes:     func() bool { return p.node.ReachableRank() == 0 },
+		Incomplete: func() bool { return p.node.ReachablePeers() < p.node.Members()-1 },
+	}
 	return k.Run(ctx)
 }
 
--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -77,10 +77,13 @@
 func (p *process) newPoisonGuard() *poison.Guard {
 	return poison.New(poison.Options{
 		Ended: p.pool.Refuses, Broadcast: p.node.BroadcastCrashes, Metrics: p.metrics, Log: p.log, Now: time.Now,
-		MayProbe: func(t poison.Trait) bool { return p.registry.Settled() && p.node.Owns(uint64(t)) },
+		MayProbe: func(t poison.Trait) bool { return p.registry.Settled() && !p.isolated() && p.node.Owns(uint64(t)) },
 	})
 }
 
+// isolated reports whether this instance reaches less than half of the others.
+func (p *process) isolated() bool { return 2*p.node.ReachablePeers() < p.node.Members()-1 }
+
 // tickRateLimits keeps this instance's shares of the rate limits up to date.
 func (p *process) tickRateLimits(ctx context.Context) error {
 	for sleep.For(ctx, ratelimit.TickInterval) {
--- a/pkg/poison/keeper.go
+++ b/pkg/poison/keeper.go
@@ -18,16 +18,22 @@
 	// saveInterval is the least time between two writes of the object, and between two
 	// attempts to read it.
 	saveInterval = 500 * time.Millisecond
+	// exchangeInterval is the time between two reads of the object while instances don't reach
+	// each other.
+	exchangeInterval = time.Second
 )
 
-// Keeper keeps the traits in quarantine in the object store, for a start of all instances:
-// one that starts alone hears of them from its peers.
+// Keeper keeps the traits in quarantine in the object store, for a start of all instances and
+// for instances that don't reach each other: others hear of them from their peers.
 type Keeper struct {
 	Guard *Guard
 	Store objectstore.Store
-	// Held reports whether this instance is the one that writes the object.
-	Held func() bool
-	Log  *slog.Logger
+	// Writes reports whether this instance is the one that writes the object, among those that
+	// reach each other.
+	Writes func() bool
+	// Incomplete reports whether this instance doesn't reach all others.
+	Incomplete func() bool
+	Log        *slog.Logger
 
 	stored lease.State
 	// saved is what the object holds as far as this instance knows.
@@ -39,13 +45,19 @@
 	Parts []Entry `json:"parts"`
 }
 
-// Run reads the stored traits once and then stores changes until the context ends.
+// Run reads the stored traits once, and then exchanges changes with the store until the
+// context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.stored = lease.State{Store: k.Store, Key: stateKey}
 	loaded := false
+	var read time.Time
 	for sleep.For(ctx, saveInterval) {
-		loaded = loaded || k.load(ctx)
-		if loaded && k.Held() {
+		writes := k.Writes()
+		if !loaded || writes && k.Incomplete() && time.Since(read) >= exchangeInterval {
+			loaded = k.load(ctx) || loaded
+			read = time.Now()
+		}
+		if loaded && writes {
 			k.save(ctx)
 		}
 	}
@@ -77,10 +89,11 @@
 	}
 	err := k.stored.Save(ctx, record{Parts: list})
 	if errors.Is(err, lease.ErrStateConflict) {
-		// The holder before has written the object. This instance knows its traits from the
-		// peers; only the version is missing.
-		_, err = k.stored.Load(ctx, &record{})
-	} else if err == nil {
+		// Another instance has written the object; the next save holds the traits of both.
+		k.load(ctx)
+		return
+	}
+	if err == nil {
 		k.saved = list
 	}
 	if err != nil {
