--- a/pkg/poison/evidence_test.go
+++ b/pkg/poison/evidence_test.go
@@ -161,7 +161,7 @@
 	l := newCrashLog()
 	now := addCrashes(&l, 4, 100*time.Millisecond, start, partsOf(1))
 	g.Expect(l.lateCrashes(content(1))).To(BeZero())
-	now = addCrashes(&l, 2, 100*time.Millisecond, now.Add(graceTime), partsOf(1))
+	addCrashes(&l, 2, 100*time.Millisecond, now.Add(graceTime), partsOf(1))
 	g.Expect(l.lateCrashes(content(1))).To(Equal(2))
 
 	q := newQuarantine()
