schedule: a stream that waits for its build holds up no other request

A stream that has begun may wait for a slot at an endpoint of its build while others have free ones. It waited in the same queue, and a new request joined the queue behind it though a slot was free, until the next request ended. TestPlace_StreamThatWaitsForItsBuildHoldsUpNoOther fails without it.

--- a/pkg/schedule/queue.go
+++ b/pkg/schedule/queue.go
@@ -74,6 +74,12 @@
 	q.waiting = slices.Insert(q.waiting, i, w)
 }
 
+// blocks reports whether a new request has to wait behind another one. Those that may not be
+// placed on all endpoints don't hold up others.
+func (q *queue) blocks() bool {
+	return slices.ContainsFunc(q.waiting, func(w *waiter) bool { return !w.request.restricted() })
+}
+
 func (q *queue) remove(w *waiter) {
 	if i := slices.Index(q.waiting, w); i >= 0 {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -167,7 +167,7 @@
 		s.recordWork(r)
 	}
 	q.mu.Lock()
-	if len(q.waiting) == 0 {
+	if !q.blocks() {
 		p, busy := s.tryPlace(r, now)
 		if p != nil {
 			q.mu.Unlock()
--- a/pkg/schedule/schedule_test.go
+++ b/pkg/schedule/schedule_test.go
@@ -141,6 +141,83 @@
 	})
 }
 
+// newBuildTable returns endpoints of one slot each, with the given versions.
+func newBuildTable(versions ...string) *endpoints.Table {
+	t := endpoints.NewTable(func() {})
+	for i, v := range versions {
+		t.Put(endpoints.Info{ID: fmt.Sprintf("i-%d", i), Service: "s1", Addr: "10.0.0.1:80", Slots: 1, Version: v})
+	}
+	return t
+}
+
+// Guards against a stream that goes on at another build, or that waits for its build though no
+// endpoint of it is left.
+func TestPlace_KeepsToBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := newBuildTable("v1", "v2", "v2")
+		table2 := table.Service("s1")
+		s := New(table, slotsOf, time.Now)
+		r := testRequest(time.Now())
+		r.Build = table2[0].Build()
+		p, err := s.Place(context.Background(), r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(p.Endpoint.ID).To(Equal("i-0"))
+		_, err = s.Place(context.Background(), r)
+		g.Expect(err).To(MatchError(ErrBusy), "its only endpoint is full")
+
+		waited := make(chan error, 1)
+		r.Arrived = time.Now()
+		go func() {
+			_, err := s.Place(context.Background(), r)
+			waited <- err
+		}()
+		synctest.Wait()
+		start := time.Now()
+		table.Remove("i-0")
+		s.PlaceWaiting()
+		g.Expect(<-waited).To(MatchError(ErrBusy), "its only endpoint has gone")
+		g.Expect(time.Since(start)).To(BeZero())
+	})
+}
+
+// Guards against requests that wait behind a stream whose build has no free slot.
+func TestPlace_StreamThatWaitsForItsBuildHoldsUpNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := newBuildTable("v1", "v2", "v2")
+		s := New(table, slotsOf, time.Now)
+		r := testRequest(time.Now())
+		r.Build = table.Service("s1")[0].Build()
+		held, err := s.Place(context.Background(), r)
+		g.Expect(err).NotTo(HaveOccurred())
+		placed := make(chan error, 1)
+		go func() {
+			_, err := s.Place(context.Background(), r)
+			placed <- err
+		}()
+		synctest.Wait()
+		var others []*Placement
+		for range 2 {
+			start := time.Now()
+			p, err := s.Place(context.Background(), testRequest(start))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(time.Since(start)).To(BeZero())
+			others = append(others, p)
+		}
+		waits := make(chan error, 1)
+		go func() {
+			_, err := s.Place(context.Background(), testRequest(time.Now()))
+			waits <- err
+		}()
+		synctest.Wait()
+		others[0].End()
+		g.Expect(<-waits).To(Succeed(), "a slot of another build is free")
+		held.End()
+		g.Expect(<-placed).To(Succeed())
+	})
+}
+
 func TestPlace_SamePrefixGoesToSameEndpoint(t *testing.T) {
 	g := NewWithT(t)
 	s := New(newTable(8, 96), slotsOf, time.Now)
