--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -265,6 +265,50 @@
 	})
 }
 
+// Guards against a request that is sent again by the gateway, on top of its callers' tries, though
+// it has crashed several endpoints.
+func TestGuard_DoesNotResendSuspectedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		guard := newGuard(time.Now)
+		for n := range requestCrashes {
+			g.Expect(guard.MayResend(partsOf(1))).To(BeTrue(), "%d crashes", n)
+			guard.BrokeOff(endpoint(n), partsOf(1))
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.Expect(guard.MayResend(partsOf(1))).To(BeFalse())
+		g.Expect(guard.MayResend(partsOf(2))).To(BeTrue(), "another request")
+		guard.Survived(partsOf(1))
+		g.Expect(guard.MayResend(partsOf(1))).To(BeTrue(), "it was answered")
+	})
+}
+
+// Guards against probes that come on top of the late crashes that a request caused while it
+// wasn't known yet.
+func TestGuard_ProbesRequestWithLateCrashesLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		guard := newGuard(time.Now)
+		crash := func(n int) {
+			guard.BrokeOff(endpoint(n), partsOf(1))
+			time.Sleep(100 * time.Millisecond)
+			guard.Tick()
+		}
+		for n := range requestCrashes {
+			crash(n)
+		}
+		time.Sleep(graceTime)
+		crash(10)
+		crash(11)
+		time.Sleep(settleTime)
+		guard.Tick()
+		v := guard.Check(partsOf(1))
+		g.Expect(v.Refused).To(BeTrue())
+		g.Expect(v.Whole).To(BeTrue())
+		g.Expect(v.RetryAfter).To(BeNumerically(">", firstProbeDelay))
+	})
+}
+
 // Guards against crashing parts that are forgotten when all instances restart.
 func TestKeeper_KeepsPartsForAStartOfAllInstances(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
