Process test: wait for the quarantine itself instead of sending requests meanwhile

It polled with requests that have the part; one that is under way when the entry arrives is answered, which ends the quarantine everywhere, as it should. By reading; not reproduced. The test now waits for the entry and then sends one request, which is as strict.

--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -277,7 +277,9 @@
 	g.Eventually(second.status("/v1/"), waitTimeout).Should(Equal(200))
 	g.Expect(second.statusWithParts("bad:10,own:10")).To(Equal(200))
 	first.poison.Merge([]poison.Entry{{Trait: poison.PartOf("bad"), Epoch: 1, Probes: 1, ProbeInMS: 60_000}})
-	g.Eventually(func() int { return second.statusWithParts("bad:10,own:10") }, waitTimeout).Should(Equal(503))
+	// A request that is under way when the entry arrives would end the quarantine with its answer.
+	g.Eventually(second.poison.Entries, waitTimeout).Should(HaveLen(1))
+	g.Expect(second.statusWithParts("bad:10,own:10")).To(Equal(503))
 	g.Expect(second.statusWithParts("bad:10")).To(Equal(200), "the last part is the request's own")
 	g.Expect(second.statusWithParts("good:10,own:10")).To(Equal(200))
 	g.Eventually(func() string { return s.store.Value("poison", "parts") }, waitTimeout).Should(ContainSubstring(fmt.Sprintf("%q", fmt.Sprint(uint64(poison.PartOf("bad"))))))
@@ -286,7 +288,8 @@
 
 	third := s.start(t, "gw-3")
 	g.Eventually(third.status("/v1/"), waitTimeout).Should(Equal(200))
-	g.Eventually(func() int { return third.statusWithParts("bad:10,own:10") }, waitTimeout).Should(Equal(503), "from the store")
+	g.Eventually(third.poison.Entries, waitTimeout).Should(HaveLen(1), "from the store")
+	g.Expect(third.statusWithParts("bad:10,own:10")).To(Equal(503))
 	third.stop(g)
 }
 
