allowance: sums over the peers are kept, not computed for each report

Cause: each report of a peer brought the account of every workspace up to date, which went over all peers twice. At 295 instances a process gets up to 120 reports a second: 40 accounts times 294 peers times two for each of them, and again for each own message.

Change: the number of reachable peers and the sums of their rates are kept; the peers are looked at when the next of them can become unreachable.

--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -61,6 +61,11 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	peers    map[string]*peer
+	// reachable is the number of reachable peers. timeout is PeerTimeout when they were last
+	// checked, and nextCheck when that is due again.
+	reachable int
+	timeout   time.Duration
+	nextCheck time.Time
 	// receivedFrom holds the peers whose totals were received since this process
 	// last sent its own.
 	receivedFrom map[string]bool
@@ -89,6 +94,9 @@
 	unreachable int
 	// reports holds the last report of each peer.
 	reports map[string]*report
+	// peerRate is the sum of the rates of these reports, and reachableRate that of the
+	// reachable peers.
+	peerRate, reachableRate float64
 }
 
 // New returns a Limiter without accounts.
@@ -232,11 +240,12 @@
 	if elapsed <= 0 {
 		return
 	}
+	l.checkPeers(now)
 	a.updatedAt = now
 	rate := a.limit.Rate * (1 + l.Overshoot)
 	members := max(1, l.Members())
 	unreachable := l.unreachablePeers(members, now)
-	use := l.assumedUse(a, elapsed, now) + float64(unreachable)*rate/float64(members)*elapsed
+	use := max(0, a.reachableRate)*elapsed + float64(unreachable)*rate/float64(members)*elapsed
 	if unreachable > a.unreachable && a.balance > 0 {
 		// The newly unreachable peers may each spend an equal share of the balance.
 		use += a.balance * float64(unreachable-a.unreachable) / float64(members)
@@ -298,9 +307,6 @@
 func (l *Limiter) demandShare(a *account) float64 {
 	members := float64(max(1, l.Members()))
 	assumed := assumedDemand * a.limit.Rate / members
-	all := a.spendRate
-	for _, r := range a.reports {
-		all += r.rate
-	}
+	all := a.spendRate + max(0, a.peerRate)
 	return (a.spendRate + assumed) / (all + assumed*members)
 }
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -6,6 +6,8 @@
 type peer struct {
 	boot     uint64
 	lastSeen time.Time
+	// reachable is true if its last report was recent at the last check.
+	reachable bool
 }
 
 // report holds a peer's last reported use of one workspace.
@@ -15,42 +17,99 @@
 	at    time.Time
 	// rate is the moving average of its use per second.
 	rate float64
-	// assumed is the use that has been subtracted from the balance for the time after at.
+	// assumed is the use that has been subtracted from the balance for the time from at
+	// until since. For the time after that it is rate while the peer is reachable.
 	assumed float64
+	since   time.Time
+}
+
+// settle adds the use that has been assumed until now to assumed.
+func (r *report) settle(now time.Time) {
+	r.assumed += r.rate * now.Sub(r.since).Seconds()
+	r.since = now
 }
 
 // unreachablePeers returns the number of unreachable peers. Peers that have not
 // reported since this process started count only once PeerTimeout has passed.
 func (l *Limiter) unreachablePeers(members int, now time.Time) int {
+	if now.Sub(l.startedAt) <= l.timeout {
+		return min(len(l.peers)-l.reachable, members-1)
+	}
+	return max(0, members-1-l.reachable)
+}
+
+// checkPeers finds the peers that have become unreachable, and drops those that have been
+// so for longer than dropPeerAfter. It looks at them only when the next of these times has
+// passed, since it is called for each report of each peer.
+func (l *Limiter) checkPeers(now time.Time) {
 	timeout := l.PeerTimeout()
-	reachable, unreachable := 0, 0
-	for _, p := range l.peers {
-		if now.Sub(p.lastSeen) <= timeout {
-			reachable++
+	if timeout == l.timeout && !now.After(l.nextCheck) {
+		return
+	}
+	l.timeout, l.nextCheck = timeout, now.Add(dropPeerAfter)
+	for id, p := range l.peers {
+		if p.lastSeen.IsZero() {
+			continue // its first report is being recorded
+		}
+		silent := now.Sub(p.lastSeen)
+		if silent > dropPeerAfter && silent > timeout {
+			l.removePeer(id, p)
+			continue
+		}
+		l.setReachable(id, p, silent <= timeout)
+		if p.reachable {
+			l.checkBy(p.lastSeen.Add(timeout))
 		} else {
-			unreachable++
+			l.checkBy(p.lastSeen.Add(dropPeerAfter))
 		}
 	}
-	if now.Sub(l.startedAt) <= timeout {
-		return min(unreachable, members-1)
+}
+
+// checkBy makes checkPeers look at the peers once a time has passed.
+func (l *Limiter) checkBy(at time.Time) {
+	if at.Before(l.nextCheck) {
+		l.nextCheck = at
 	}
-	return max(0, members-1-reachable)
 }
 
-// assumedUse returns the assumed use of an account by all reachable peers over the
-// given number of seconds.
-func (l *Limiter) assumedUse(a *account, elapsed float64, now time.Time) float64 {
-	timeout := l.PeerTimeout()
-	use := 0.0
-	for id, p := range l.peers {
+// setReachable records whether a peer is reachable. The use of a reachable peer is assumed
+// in the accounts from their last update on.
+func (l *Limiter) setReachable(id string, p *peer, reachable bool) {
+	if p.reachable == reachable {
+		return
+	}
+	p.reachable = reachable
+	if reachable {
+		l.reachable++
+	} else {
+		l.reachable--
+	}
+	for _, a := range l.accounts {
 		r, ok := a.reports[id]
-		if !ok || now.Sub(p.lastSeen) > timeout {
+		if !ok {
 			continue
 		}
-		r.assumed += r.rate * elapsed
-		use += r.rate * elapsed
+		if reachable {
+			r.since = a.updatedAt
+			a.reachableRate += r.rate
+		} else {
+			r.settle(a.updatedAt)
+			a.reachableRate -= r.rate
+		}
+	}
+}
+
+// removePeer forgets a peer and its reports. Its equal share stays reserved while it is a
+// member.
+func (l *Limiter) removePeer(id string, p *peer) {
+	l.setReachable(id, p, false)
+	for _, a := range l.accounts {
+		if r, ok := a.reports[id]; ok {
+			a.peerRate -= r.rate
+			delete(a.reports, id)
+		}
 	}
-	return use
+	delete(l.peers, id)
 }
 
 // connected reports whether enough peers have sent their totals since this process
@@ -67,12 +126,12 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	l.receivedFrom[id] = true
+	l.checkPeers(now)
 	p, known := l.peers[id]
-	wasUnreachable := known && now.Sub(p.lastSeen) > l.PeerTimeout()
 	initial := initialTotal{}
 	if !known || p.boot != boot {
-		initial = l.recordPeerStart(id, boot, known, now)
-		p, wasUnreachable = l.peers[id], false
+		initial = l.recordPeerStart(id, boot, p, now)
+		p = l.peers[id]
 	}
 	for name, total := range totals {
 		if a, ok := l.accounts[name]; ok {
@@ -80,12 +139,13 @@
 			if initial.isFirst {
 				a.recordInitialTotal(id, total, l.charge(a, initial, total), now)
 			} else {
-				a.recordTotal(id, total, now, wasUnreachable)
+				a.recordTotal(id, total, now, p.reachable)
 			}
 		}
 	}
 	p.lastSeen = now
-	l.dropUnreachable(now)
+	l.setReachable(id, p, true)
+	l.checkBy(now.Add(l.timeout))
 }
 
 // initialTotal describes how the first total after a peer's start is charged.
@@ -96,10 +156,13 @@
 	isFirst, ignore, capped bool
 }
 
-// recordPeerStart records a new peer or a restart of a known one.
-func (l *Limiter) recordPeerStart(id string, boot uint64, known bool, now time.Time) initialTotal {
+// recordPeerStart records a new peer, or a restart of a known one, which before is.
+func (l *Limiter) recordPeerStart(id string, boot uint64, before *peer, now time.Time) initialTotal {
+	known := before != nil
+	if known {
+		l.removePeer(id, before)
+	}
 	l.peers[id] = &peer{boot: boot}
-	l.dropReports(id)
 	at := time.Unix(0, int64(boot))
 	idle := !l.idleSince.IsZero()
 	if idle && at.Before(l.idleSince) {
@@ -124,46 +187,35 @@
 // charge from the balance.
 func (a *account) recordInitialTotal(id string, total, charge float64, now time.Time) {
 	a.balance -= charge
-	a.reports[id] = &report{total: total, at: now}
+	a.reports[id] = &report{total: total, at: now, since: now}
 }
 
 // recordTotal records a later total of a peer and corrects the balance by the
 // difference between the assumed and the actual use. After a time in which the peer
 // was unreachable nothing is corrected, since an equal share was reserved for it.
-func (a *account) recordTotal(id string, total float64, now time.Time, wasUnreachable bool) {
+func (a *account) recordTotal(id string, total float64, now time.Time, reachable bool) {
 	r, ok := a.reports[id]
 	if !ok {
 		// The peer's earlier reports had no use of this workspace.
-		r = &report{at: now}
+		r = &report{at: now, since: now}
 		a.reports[id] = r
 	}
 	used := total - r.total
-	elapsed := now.Sub(r.at).Seconds()
-	if !wasUnreachable {
+	if reachable {
+		r.settle(now)
 		a.balance += r.assumed - used
 	}
-	if elapsed > 0 {
-		r.rate = max(0, r.rate+rateWeight*(used/elapsed-r.rate))
-	}
-	r.total, r.at, r.assumed = total, now, 0
-}
-
-// dropUnreachable removes peers that have been unreachable for longer than
-// dropPeerAfter. Their equal share stays reserved while they are members.
-func (l *Limiter) dropUnreachable(now time.Time) {
-	for id, p := range l.peers {
-		if now.Sub(p.lastSeen) <= dropPeerAfter {
-			continue
-		}
-		delete(l.peers, id)
-		l.dropReports(id)
+	if elapsed := now.Sub(r.at).Seconds(); elapsed > 0 {
+		a.setRate(r, max(0, r.rate+rateWeight*(used/elapsed-r.rate)), reachable)
 	}
+	r.total, r.at, r.assumed, r.since = total, now, 0, now
 }
 
-// dropReports removes a peer's reports, since its totals begin again at 0 after a
-// restart.
-func (l *Limiter) dropReports(id string) {
-	for _, a := range l.accounts {
-		delete(a.reports, id)
+// setRate sets the rate of a peer's report and updates the sums of the rates.
+func (a *account) setRate(r *report, rate float64, reachable bool) {
+	a.peerRate += rate - r.rate
+	if reachable {
+		a.reachableRate += rate - r.rate
 	}
+	r.rate = rate
 }
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -121,22 +121,27 @@
 			n.handleReadError(ctx, err)
 			continue
 		}
-		m, err := decode(buf[:size])
-		if err != nil {
-			n.Log.Warn("failed to decode message", "from", from.String(), "error", err.Error())
-			continue
-		}
-		switch {
-		case m.ID == n.ID:
-		case m.Changes != nil, m.Crashes != nil, m.Streams != nil:
-			n.receiveBroadcast(m, from)
-		case n.accept(m, from):
-			n.OnMessage(m)
-		}
+		n.Receive(buf[:size], from)
 	}
 	return nil
 }
 
+// Receive handles one datagram. It doesn't keep data.
+func (n *Node) Receive(data []byte, from netip.AddrPort) {
+	m, err := decode(data)
+	if err != nil {
+		n.Log.Warn("failed to decode message", "from", from.String(), "error", err.Error())
+		return
+	}
+	switch {
+	case m.ID == n.ID:
+	case m.Changes != nil, m.Crashes != nil, m.Streams != nil:
+		n.receiveBroadcast(m, from)
+	case n.accept(m, from):
+		n.OnMessage(m)
+	}
+}
+
 // handleReadError logs a read error of the socket, then pauses, so that a persistent
 // error doesn't flood the log.
 func (n *Node) handleReadError(ctx context.Context, err error) {
