gossip: lists of members may be stale once an instance is registered

Cause: each instance reads all registrations every 8 s at the full price; at 295 instances that is 37 calls a second, and at a first start two lists of each that find nothing or little.

Change: a read may be marked as one that takes a state that is seconds old (a tenth of the price). At the first start of the whole system an instance registers without a list before. A new instance counts as known to the others 5 s later, since their lists may be that old. All members are greeted when they become known (512 instead of 64), so that a large fleet hears itself at once.

--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -25,7 +25,7 @@
 	timeoutRounds = 4
 	// maxNewPeers is the largest number of queued new peers; others get their first
 	// message in the normal rotation.
-	maxNewPeers = 64
+	maxNewPeers = 512
 	// maxFirstTarget bounds the position of an instance's first target, which grows from there.
 	maxFirstTarget = 1 << 20
 	// maxBroadcasts is the largest number of queued broadcasts.
--- a/pkg/gossip/registry.go
+++ b/pkg/gossip/registry.go
@@ -24,8 +24,13 @@
 	// rereadInterval is the time from this instance's registration to its next read.
 	// Instances that started at the same time weren't registered at the first read.
 	rereadInterval = time.Second
+	// maxStaleness is the largest age of a list that may be stale.
+	maxStaleness = 5 * time.Second
 	// settleTime is the time from a new instance's registration until all others have read it.
-	settleTime = listInterval + 2*time.Second
+	settleTime = listInterval + maxStaleness + 2*time.Second
+	// firstSettleTime is the same time at the first start of the whole system, when all read
+	// the registrations at about the same time.
+	firstSettleTime = listInterval + 2*time.Second
 	// retryInterval is the time before a failed read is repeated.
 	retryInterval = 500 * time.Millisecond
 	// removalMargin is the time since this instance last read its own registration in which
@@ -46,7 +51,11 @@
 	Now   func() time.Time
 	// MayRemove reports whether this instance may remove stale registrations.
 	MayRemove func() bool
+	// FirstStart is true at the first start of the whole system, when nothing is registered.
+	FirstStart bool
 
+	// isRegistered is true once this instance has read its own registration.
+	isRegistered bool
 	// settledFrom is the time from which the others know this instance as a member; nil
 	// before its first read of the registrations. listedAt is when it last read its own.
 	settledFrom, listedAt atomic.Pointer[time.Time]
@@ -57,6 +66,12 @@
 // Run keeps the registrations up to date until the context ends.
 func (r *Registry) Run(ctx context.Context) error {
 	r.unseenSince = make(map[string]time.Time)
+	if r.FirstStart {
+		from := r.Now().Add(firstSettleTime)
+		r.settledFrom.Store(&from)
+		r.register(ctx, 0)
+		sleep.For(ctx, rereadInterval)
+	}
 	for ctx.Err() == nil {
 		registered, err := r.sync(ctx)
 		pause := listInterval
@@ -74,12 +89,56 @@
 
 // sync reads the registrations and reports whether this instance had to register.
 func (r *Registry) sync(ctx context.Context) (registered bool, err error) {
-	objects, err := r.Store.List(ctx, Prefix)
+	list, versions, err := r.read(ctx)
 	if err != nil {
 		return false, err
 	}
-	list := make(map[string]Member, len(objects))
-	versions := make(map[string]uint64, len(objects))
+	r.recordSettled(list)
+	registered = list[r.Node.ID] != r.registration()
+	if registered {
+		r.register(ctx, versions[r.Node.ID])
+	}
+	r.Node.SetMembers(list)
+	r.removeStale(ctx, list, versions)
+	return registered, nil
+}
+
+// read reads the registrations and their versions. Once this instance has read its own, a
+// list may be stale, unless that one is missing in it.
+func (r *Registry) read(ctx context.Context) (list map[string]Member, versions map[string]uint64, err error) {
+	if r.isRegistered {
+		list, versions, err = r.list(objectstore.AllowStale(ctx))
+		if err != nil {
+			return nil, nil, err
+		}
+		if r.recordOwn(list, r.Now().Add(-maxStaleness)) {
+			return list, versions, nil
+		}
+	}
+	list, versions, err = r.list(ctx)
+	if err == nil {
+		r.isRegistered = r.recordOwn(list, r.Now())
+	}
+	return list, versions, err
+}
+
+// recordOwn records that this instance was registered at a time, if a list says so.
+func (r *Registry) recordOwn(list map[string]Member, at time.Time) bool {
+	if list[r.Node.ID] != r.registration() {
+		return false
+	}
+	r.listedAt.Store(&at)
+	return true
+}
+
+// list reads the registrations and their versions from the store.
+func (r *Registry) list(ctx context.Context) (list map[string]Member, versions map[string]uint64, err error) {
+	objects, err := r.Store.List(ctx, Prefix)
+	if err != nil {
+		return nil, nil, err
+	}
+	list = make(map[string]Member, len(objects))
+	versions = make(map[string]uint64, len(objects))
 	for _, o := range objects {
 		id := strings.TrimPrefix(o.Key, Prefix)
 		var m Member
@@ -89,18 +148,7 @@
 		}
 		list[id], versions[id] = m, o.Version
 	}
-	r.recordSettled(list)
-	registered = list[r.Node.ID] != r.registration()
-	if !registered {
-		now := r.Now()
-		r.listedAt.Store(&now)
-	}
-	if registered {
-		r.register(ctx, versions[r.Node.ID])
-	}
-	r.Node.SetMembers(list)
-	r.removeStale(ctx, list, versions)
-	return registered, nil
+	return list, versions, nil
 }
 
 // recordSettled records at the first read when the others will know this instance: at
