Fewer calls to the platform of large fleets: at starts, by relays, and from 8 instances on

Below 24 instances each watched for itself; at a start each did until it heard half of the others; four relays called every 0.7 s whatever the bound of changes; at a start each instance read three states that a first start can't have, and competed for the duties.

Change: watches are shared from 8 instances on. For 2 s after a start an instance waits with its second watch until it knows whether it is shared. Relays hold their watches for up to half of the time in which a change must be in force (new setting change_ms, 1 to 2 s). The first start reads no stored state, and an instance that has just started and hears few others is no candidate.

--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -29,6 +29,9 @@
 const (
 	// pollsPerLease is how often each candidate reads the lease within its duration.
 	pollsPerLease = 4
+	// discoveryTime is the time after its start in which an instance that hears few others is
+	// no candidate: it may not know its rank yet.
+	discoveryTime = 2 * time.Second
 	// maxCandidates is the number of instances that try to acquire a free lease.
 	maxCandidates = 2
 	// releaseTimeout limits the writes that release the lease and remove the
@@ -44,8 +47,10 @@
 			Self: p.usage.Source, Owner: p.cfg.ID + "@" + p.cfg.Listen, Duration: duration, Poll: duration / pollsPerLease, MinHold: duration,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), WriteID: uuid.NewString,
 		},
-		Duty: dutyName, Store: p.store, Log: p.log, Now: time.Now,
-		Candidate: func(wasLastHolder bool) bool { return p.ready() && (wasLastHolder || p.node.Rank() < maxCandidates) },
+		Duty: dutyName, Store: p.store, Log: p.log, Now: time.Now, FirstStart: p.cfg.FirstStart,
+		Candidate: func(wasLastHolder bool) bool {
+			return p.ready() && (wasLastHolder || !p.discovering() && p.node.Rank() < maxCandidates)
+		},
 	})
 	cloudClient := platform.NewCloud(p.cfg.CloudAPI, p.cfg.ID, client)
 	p.reporter = &usage.Reporter{Ledger: p.usage, Store: p.store, Lease: p.dutyLease, Platform: cloudClient, Log: p.log}
@@ -55,11 +60,16 @@
 	})
 }
 
+// discovering reports whether this instance has started lately and hears few of the others.
+func (p *process) discovering() bool {
+	return time.Since(p.startedAt) < discoveryTime && (p.node.Members() == 1 || p.isolated())
+}
+
 // keepQuarantine keeps what requests have in common that crash endpoints in the store, for a
 // start of all instances and for instances that don't reach each other.
 func (p *process) keepQuarantine(ctx context.Context) error {
 	k := poison.Keeper{
-		Guard: p.poison, Store: p.store, Log: p.log,
+		Guard: p.poison, Store: p.store, Log: p.log, FirstStart: p.cfg.FirstStart,
 		Writes:     func() bool { return p.node.ReachableRank() == 0 },
 		Incomplete: func() bool { return p.node.ReachablePeers() < p.node.Members()-1 },
 	}
--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -42,6 +42,7 @@
 		Rank:           func() int { return p.node.ReachableRank() },
 		ReachablePeers: func() int { return p.node.ReachablePeers() },
 		Members:        func() int { return p.node.Members() },
+		MaxDelay:       time.Duration(p.cfg.ChangeMS) * time.Millisecond,
 		Broadcast:      func(data []byte) { p.node.BroadcastChanges(data) },
 	})
 }
@@ -62,7 +63,7 @@
 	})
 	p.origins = origin.New(origin.Options{Peers: p.node.ReachablePeerIDs, Send: p.node.SendStreams, Metrics: p.metrics, Log: p.log, Now: time.Now})
 	p.peerLoads = endpoints.NewPeerLoads(p.table, p.node.PeerTimeout, time.Now)
-	p.registry = &gossip.Registry{Store: p.store, Node: p.node, Log: p.log, Now: time.Now, MayRemove: func() bool {
+	p.registry = &gossip.Registry{Store: p.store, Node: p.node, Log: p.log, Now: time.Now, FirstStart: p.cfg.FirstStart, MayRemove: func() bool {
 		_, held := p.dutyLease.Held()
 		return held
 	}}
@@ -95,7 +96,9 @@
 // runPeers credits the idle time to the allowances and then exchanges messages with
 // the peers.
 func (p *process) runPeers(ctx context.Context) error {
-	p.creditIdleTime(ctx)
+	if !p.cfg.FirstStart {
+		p.creditIdleTime(ctx)
+	}
 	return p.node.Run(ctx)
 }
 
@@ -120,7 +123,9 @@
 // loadSpeeds loads the endpoint speeds that instances stored earlier. It then waits
 // for the context, as the process stops when an actor returns.
 func (p *process) loadSpeeds(ctx context.Context) error {
-	p.readSpeeds(ctx)
+	if !p.cfg.FirstStart {
+		p.readSpeeds(ctx)
+	}
 	<-ctx.Done()
 	return nil
 }
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -90,6 +90,7 @@
 	dutyLease        *lease.Lease
 	reporter         *usage.Reporter
 	planner          *scaling.Planner
+	startedAt        time.Time
 	stopping         atomic.Bool
 	// stopRequested is closed to request a planned stop.
 	stopRequested chan struct{}
@@ -97,7 +98,7 @@
 
 func newProcess(cfg settings.Gateway, file string, log *slog.Logger) *process {
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
-	p := &process{cfg: cfg, file: file, log: log, metrics: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now), stopRequested: make(chan struct{})}
+	p := &process{startedAt: time.Now(), cfg: cfg, file: file, log: log, metrics: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now), stopRequested: make(chan struct{})}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: storeConns, IdleConnTimeout: storeIdleTimeout,
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -35,7 +35,7 @@
 	ErrNotHeld = eris.New("lease: not held")
 )
 
-// Options configures a Lease. All fields are required.
+// Options configures a Lease. All fields but FirstStart are required.
 type Options struct {
 	Config
 	Duty  string
@@ -46,6 +46,9 @@
 	// so that only a few of many processes poll it. wasLastHolder is true if this process or
 	// an earlier one on its instance was the last holder.
 	Candidate func(wasLastHolder bool) bool
+	// FirstStart is true at the first start of the whole system, when no process has held the
+	// lease before.
+	FirstStart bool
 }
 
 // Lease acquires and renews the lease of one duty for one process.
@@ -60,7 +63,7 @@
 
 // New returns a lease that isn't held.
 func New(o Options) *Lease {
-	return &Lease{Options: o, machine: NewMachine(o.Config)}
+	return &Lease{Options: o, machine: NewMachine(o.Config), hasRead: o.FirstStart}
 }
 
 // Held returns the fencing token and whether this process holds the lease now. It also
--- a/pkg/poison/keeper.go
+++ b/pkg/poison/keeper.go
@@ -33,6 +33,8 @@
 	Writes func() bool
 	// Incomplete reports whether this instance doesn't reach all others.
 	Incomplete func() bool
+	// FirstStart is true at the first start of the whole system, when nothing is stored.
+	FirstStart bool
 	Log        *slog.Logger
 
 	stored lease.State
@@ -49,7 +51,7 @@
 // context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.stored = lease.State{Store: k.Store, Key: stateKey}
-	loaded := false
+	loaded := k.FirstStart
 	var read time.Time
 	for sleep.For(ctx, saveInterval) {
 		writes := k.Writes()
--- a/pkg/settings/types.go
+++ b/pkg/settings/types.go
@@ -151,6 +151,9 @@
 	MemoryMB int `json:"memory_mb"`
 	// StopGraceS is the maximum duration of a planned stop, in seconds.
 	StopGraceS float64 `json:"stop_grace_s"`
+	// ChangeMS is the longest time until a change of the configuration or of an endpoint must
+	// be in force at all instances, in milliseconds; 0 means the shortest that is supported.
+	ChangeMS int `json:"change_ms"`
 	// LeaseMS is the minimum time between two holders of a duty's lease, in milliseconds.
 	LeaseMS int `json:"lease_ms"`
 	// RetryShare limits retries to a share of the requests. RetryExtra is the number
--- a/pkg/sharedwatch/fleet_test.go
+++ b/pkg/sharedwatch/fleet_test.go
@@ -34,6 +34,7 @@
 	// broadcast batches.
 	isolated atomic.Bool
 	batches  atomic.Int64
+	maxDelay time.Duration
 	stop     context.CancelFunc
 	wg       sync.WaitGroup
 }
@@ -91,7 +92,22 @@
 
 // newFleet starts a fleet; it must be called in a synctest bubble.
 func newFleet(size int, drop func() bool) *fleet {
-	f := &fleet{store: memstore.New(), drop: drop}
+	return startFleet(&fleet{store: memstore.New(), drop: drop}, size)
+}
+
+// newFleetWithDelay starts a fleet in which changes may take a time to be known to all.
+func newFleetWithDelay(size int, maxDelay time.Duration) *fleet {
+	return startFleet(&fleet{store: memstore.New(), drop: noLoss, maxDelay: maxDelay}, size)
+}
+
+// newIsolatedFleet starts a fleet in which no instance reaches its peers yet.
+func newIsolatedFleet(size int) *fleet {
+	f := &fleet{store: memstore.New(), drop: noLoss}
+	f.isolated.Store(true)
+	return startFleet(f, size)
+}
+
+func startFleet(f *fleet, size int) *fleet {
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
 	for rank := range size {
@@ -109,7 +125,7 @@
 	i := &instance{fleet: f, rank: rank, objects: make(map[string]string)}
 	i.store = New(Options{
 		Store: heldStore{Store: f.store, instance: i}, Rank: i.currentRank, ReachablePeers: i.reachablePeers, Members: func() int { return len(f.instances) },
-		Broadcast: i.broadcast, Metrics: prometheus.NewRegistry(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now,
+		MaxDelay: f.maxDelay, Broadcast: i.broadcast, Metrics: prometheus.NewRegistry(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now,
 	})
 	return i
 }
--- a/pkg/sharedwatch/follower.go
+++ b/pkg/sharedwatch/follower.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// relayTimeout is the time without a batch of any relay after which a follower
-	// watches the store directly.
-	relayTimeout = maxHold
 	// gapTimeout is how long a follower waits for another relay to send the batch that is
 	// missing in a gap.
 	gapTimeout = 100 * time.Millisecond
@@ -40,7 +37,10 @@
 	// watch returns without changes. gapSince is when a gap was noticed; zero if none.
 	position uint64
 	deadline time.Time
-	gapSince time.Time
+	// relayTimeout is the time without a batch of any relay after which the follower
+	// watches the store directly.
+	relayTimeout time.Duration
+	gapSince     time.Time
 }
 
 // advance moves the position to the end of the received batches and returns their
@@ -64,7 +64,7 @@
 		return outcomeChanged
 	case p.omitted, !f.gapSince.IsZero() && !now.Before(f.gapSince.Add(gapTimeout)):
 		return outcomeIncomplete
-	case !now.Before(p.lastReceived.Add(relayTimeout)):
+	case !now.Before(p.lastReceived.Add(f.relayTimeout)):
 		return outcomeRelaysUnreachable
 	case !now.Before(f.deadline):
 		return outcomeUnchanged
@@ -74,7 +74,7 @@
 
 // nextCheck returns when the outcome may change without another batch.
 func (f *follower) nextCheck(p progress) time.Time {
-	at := earliest(f.deadline, p.lastReceived.Add(relayTimeout))
+	at := earliest(f.deadline, p.lastReceived.Add(f.relayTimeout))
 	if !f.gapSince.IsZero() {
 		at = earliest(at, f.gapSince.Add(gapTimeout))
 	}
--- a/pkg/sharedwatch/sharedwatch_test.go
+++ b/pkg/sharedwatch/sharedwatch_test.go
@@ -19,7 +19,7 @@
 // propagationTime is the time in which a change must reach all instances where watches
 // are shared: a relay's longest watch, the time until followers notice a missing relay,
 // and a call to the store.
-const propagationTime = maxHold + 500*time.Millisecond
+const propagationTime = shortestMaxHold + 500*time.Millisecond
 
 // settleTime is the time after which the first watches, which followers make directly,
 // have ended.
@@ -51,6 +51,24 @@
 	})
 }
 
+// Guards against a start of all instances in which each watches the store for itself until it
+// has heard half of the others: with each registration that changes, all make a call.
+func TestStore_WatchesWaitAtStartUntilTheyAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newIsolatedFleet(100)
+		defer f.shutdown()
+		for n := range 15 {
+			f.put("x", fmt.Sprint(n))
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.isolated.Store(false)
+		time.Sleep(settleTime)
+		g.Expect(f.countWith("x", "14")).To(Equal(100))
+		g.Expect(f.calls.Load()).To(BeNumerically("<", 4*100), "calls of 100 instances")
+	})
+}
+
 func TestStore_PropagatesChangesToAllInstances(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -96,6 +114,32 @@
 	}
 }
 
+// Guards against relays that call the store more often than the bound of changes asks for, and
+// against followers that notice the end of all relays too late for it.
+func TestStore_RelaysWatchAsLongAsChangesMayTake(t *testing.T) {
+	for _, maxDelay := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 4 * time.Second, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleetWithDelay(40, maxDelay)
+			defer f.shutdown()
+			time.Sleep(settleTime)
+			before := f.calls.Load()
+			time.Sleep(10 * time.Second)
+			hold := min(max(maxDelay/2, time.Second), 2*time.Second)
+			g.Expect(f.calls.Load()-before).To(BeNumerically("~", relayCount*10*time.Second/(hold*7/10), 16), "calls of %s", maxDelay)
+			for _, i := range f.instances[:relayCount] {
+				i.storeHung.Store(true)
+				i.isolated.Store(true)
+			}
+			f.put("x", "new")
+			time.Sleep(max(maxDelay, 2*time.Second))
+			for _, i := range f.instances[relayCount:] {
+				g.Expect(i.value("x")).To(Equal("new"), "rank %d", i.rank)
+			}
+		})
+	}
+}
+
 func TestStore_IsolatedInstanceWatchesDirectly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -171,7 +215,7 @@
 func TestResolve_KeepsStateThatWasReadLater(t *testing.T) {
 	g := NewWithT(t)
 	store := memstore.New()
-	s := New(Options{Store: store, Metrics: prometheus.NewRegistry()})
+	s := New(Options{Store: store, Metrics: prometheus.NewRegistry(), Now: time.Now})
 	known := newKnownValues()
 	first, err := store.Create(t.Context(), "a/1", []byte("{1}{"+incompressible(largeValueBytes)))
 	g.Expect(err).NotTo(HaveOccurred())
--- a/pkg/sharedwatch/store.go
+++ b/pkg/sharedwatch/store.go
@@ -24,15 +24,23 @@
 	// off from the store while the followers aren't.
 	relayCount = 4
 	// minMembers is the size of the smallest fleet in which watches are shared.
-	minMembers = 24
+	minMembers = 2 * relayCount
+	// startupTime is the time after the start in which watches wait until it is known whether
+	// they are shared: the members are read and heard in that time.
+	startupTime = 2 * time.Second
+	// startupCheckInterval is the time between two such checks.
+	startupCheckInterval = 50 * time.Millisecond
 	// defaultHold is how long the store holds a watch without changes for an instance
 	// that isn't a relay.
 	defaultHold = 2200 * time.Millisecond
-	// minHold and maxHold bound the same time for a relay, whose batches confirm to the
-	// followers that nothing has changed. The time is random, so that the relays don't
-	// broadcast at the same moment.
-	minHold = 400 * time.Millisecond
-	maxHold = time.Second
+	// holdShare is the largest such time of a relay, whose batches confirm to the followers that
+	// nothing has changed, as a share of Options.MaxDelay. shortestMaxHold and longestMaxHold
+	// bound it. The time is random, minHoldShare of the largest at least, so that the relays
+	// don't broadcast at the same moment.
+	holdShare       = 0.5
+	shortestMaxHold = time.Second
+	longestMaxHold  = 2 * time.Second
+	minHoldShare    = 0.4
 	// A relay that takes longer than firstConfirmDelay to receive a response confirms every
 	// confirmInterval that it reaches the store.
 	firstConfirmDelay = 30 * time.Millisecond
@@ -48,6 +56,8 @@
 	Rank           func() int
 	ReachablePeers func() int
 	Members        func() int
+	// MaxDelay is the longest time until a change must be known to all instances.
+	MaxDelay time.Duration
 	// Broadcast sends an encoded batch to all peers. It doesn't block.
 	Broadcast func(data []byte)
 	Metrics   prometheus.Registerer
@@ -62,6 +72,8 @@
 	options Options
 	metrics *metrics
 
+	startedAt time.Time
+
 	mu    sync.Mutex
 	feeds map[string]*feed
 }
@@ -70,7 +82,7 @@
 
 // New returns a store that shares its watches.
 func New(o Options) *Store {
-	return &Store{Store: o.Store, options: o, metrics: newMetrics(o.Metrics), feeds: make(map[string]*feed)}
+	return &Store{Store: o.Store, options: o, metrics: newMetrics(o.Metrics), startedAt: o.Now(), feeds: make(map[string]*feed)}
 }
 
 // isShared reports whether watches are shared: the fleet is large, and at least half of
@@ -87,14 +99,24 @@
 // HoldTime returns how long the store should hold a watch without changes.
 func (s *Store) HoldTime() time.Duration {
 	if s.isRelay() {
-		return minHold + rand.N(maxHold-minHold)
+		shortest := time.Duration(minHoldShare * float64(s.maxHold()))
+		return shortest + rand.N(s.maxHold()-shortest)
 	}
 	return defaultHold
 }
 
+// maxHold returns the longest time for which the store should hold a relay's watch. Followers
+// that receive nothing from any relay for this time watch the store directly.
+func (s *Store) maxHold() time.Duration {
+	return min(max(shortestMaxHold, time.Duration(holdShare*float64(s.options.MaxDelay))), longestMaxHold)
+}
+
 // Watch implements objectstore.Store. A follower's watch also returns, without objects,
 // when the relays have confirmed for followTimeout that nothing changed.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (objectstore.Changes, error) {
+	if after != 0 {
+		s.awaitMembers(ctx)
+	}
 	if after != 0 && s.isShared() && !s.isRelay() {
 		return s.follow(ctx, prefix, after)
 	}
@@ -116,6 +138,20 @@
 	return c, nil
 }
 
+// awaitMembers waits, for a time after the start, while this instance knows no other member or
+// is about to share its watches with those of a large fleet.
+func (s *Store) awaitMembers(ctx context.Context) {
+	for s.options.Now().Sub(s.startedAt) < startupTime && !s.isShared() {
+		members := s.options.Members()
+		if members > 1 && members < minMembers {
+			return
+		}
+		if !sleep.For(ctx, startupCheckInterval) {
+			return
+		}
+	}
+}
+
 // watchDirectly watches the store without the relays.
 func (s *Store) watchDirectly(ctx context.Context, f *feed, prefix string, after uint64) (objectstore.Changes, error) {
 	c, err := s.Store.Watch(ctx, prefix, after)
@@ -174,7 +210,7 @@
 // follow waits for changes from the relays. It watches the store directly if the relays
 // are unreachable or changes are missing.
 func (s *Store) follow(ctx context.Context, prefix string, after uint64) (objectstore.Changes, error) {
-	f := follower{feed: s.feed(prefix), position: after, deadline: s.options.Now().Add(followTimeout)}
+	f := follower{feed: s.feed(prefix), position: after, relayTimeout: s.maxHold(), deadline: s.options.Now().Add(followTimeout)}
 	for {
 		now := s.options.Now()
 		p := f.advance(now)
