Where streams began survives the end of all instances, in an archive in the store

Cause: where a stream began was kept in memory of instances only.

Change (pkg/origin, Archive): a record of which builds of each service serve, written when that changes; if only one has served for as long as a stream lives, every stream began there. While several builds of a service serve, streams are sent in batches to a few instances that take turns and write one object each, once a second at most; what they hold can be read back. Both are read, once a second at most, only when a stream is taken up that no instance knows. A new build takes requests once it is recorded, as long as others serve. A record that may be older than the store's last rollback, incomplete, contradictory or unreadable says nothing: the stream is refused.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
@@ -59,9 +60,11 @@
 	p.node = gossip.NewNode(gossip.Options{
 		ID: p.cfg.ID, Boot: boot, Listen: netip.AddrPortFrom(ip, uint16(p.cfg.PeerPort)),
 		Fill: p.fillMessage, OnMessage: p.receive, OnChanges: p.watches.ReceiveBatch, OnCrashes: func(data []byte) { p.poison.Receive(data) },
-		OnStreams: func(from string, data []byte) { p.origins.Receive(from, data) }, Log: p.log, Now: time.Now,
+		OnStreams: func(from string, data []byte) { p.origins.Receive(from, data) }, OnStreamBatch: func(data []byte) { p.archive.ReceiveBatch(data) },
+		Log: p.log, Now: time.Now,
 	})
-	p.origins = origin.New(origin.Options{Peers: p.node.ReachablePeerIDs, Send: p.node.SendStreams, Metrics: p.metrics, Log: p.log, Now: time.Now})
+	p.archive = p.newArchive(boot)
+	p.origins = origin.New(origin.Options{Peers: p.node.ReachablePeerIDs, Send: p.node.SendStreams, Archive: p.archive, Metrics: p.metrics, Log: p.log, Now: time.Now})
 	p.peerLoads = endpoints.NewPeerLoads(p.table, p.node.PeerTimeout, time.Now)
 	p.registry = &gossip.Registry{Store: p.store, Node: p.node, Log: p.log, Now: time.Now, FirstStart: p.cfg.FirstStart, MayRemove: func() bool {
 		_, held := p.dutyLease.Held()
@@ -69,6 +72,18 @@
 	}}
 }
 
+// newArchive returns the archive of where streams began.
+func (p *process) newArchive(boot uint64) *origin.Archive {
+	return origin.NewArchive(origin.ArchiveOptions{
+		Source: p.cfg.ID + "-" + strconv.FormatUint(boot, 36), Self: p.cfg.ID, Store: p.store,
+		Endpoints: p.table.All, Confirm: p.table.Confirm,
+		StreamServices: func() []string { return p.config.Current().StreamServices() },
+		IsWriter:       func() bool { return !p.discovering() && p.node.ReachableRank() == 0 },
+		Writers:        p.node.FirstReachable, Members: p.node.Members, Send: p.node.SendStreamBatch,
+		FirstStart: p.cfg.FirstStart, Metrics: p.metrics, Log: p.log, Now: time.Now, TrueTime: p.clock.Now,
+	})
+}
+
 // membership returns the instances that share the endpoints' rate limits.
 func (p *process) membership() ratelimit.Membership {
 	return ratelimit.Membership{Self: p.cfg.ID, IDs: p.node.MemberIDs(), Settled: p.registry.Settled()}
@@ -169,6 +184,7 @@
 	m.RateLimits = p.rateLimits.Reports()
 	m.Quarantine = p.poison.NextEntries()
 	m.Fence = p.dutyLease.HighestFence()
+	m.Builds = p.archive.Announcement(m.Seq)
 }
 
 // receive processes a message from a peer.
@@ -181,6 +197,7 @@
 	p.rateLimits.Receive(m.RateLimits)
 	p.poison.Merge(m.Quarantine)
 	p.dutyLease.ObserveFence(m.Fence)
+	p.archive.Merge(m.Builds)
 	p.scheduler.Speeds.Merge(from, m.Speeds)
 	loads := make(map[string]endpoints.Load, len(m.Load))
 	for id, l := range m.Load {
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -78,6 +78,7 @@
 	backoffs         *backoff.Backoffs
 	poison           *poison.Guard
 	origins          *origin.Registry
+	archive          *origin.Archive
 	pool             *upstream.Pool
 	gateway          *gateway.Gateway
 	ingress          *ingress.Server
@@ -131,6 +132,7 @@
 // endpointsChanged places waiting requests and triggers a new capacity plan.
 func (p *process) endpointsChanged() {
 	p.scheduler.PlaceWaiting()
+	p.archive.EndpointsChanged()
 	p.planner.Wake()
 }
 
@@ -197,6 +199,7 @@
 		p.keepQuarantine,
 		p.runPeers,
 		p.loadSpeeds,
+		p.archive.Run,
 		p.registry.Run,
 		p.serve,
 		func(ctx context.Context) error { return httpserver.Run(ctx, ready, 0) },
--- a/pkg/endpoints/endpoints_test.go
+++ b/pkg/endpoints/endpoints_test.go
@@ -401,3 +401,34 @@
 		g.Expect(ids(f.table.Service("s1"))).To(Equal([]string{"i-1"}))
 	})
 }
+
+// Guards against streams that begin at a build that no record names: after the end of all
+// instances they would be taken for streams of another one.
+func TestTable_UsesNewBuildOnceConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	changes := 0
+	table := NewTable(func() { changes++ })
+	ids := func() (out []string) {
+		for _, e := range table.Service("s1") {
+			out = append(out, e.ID)
+		}
+		return out
+	}
+	old := Info{ID: "i-1", Service: "s1", Version: "v1"}
+	table.Put(old)
+	table.Put(Info{ID: "i-2", Service: "s1", Version: "v2"})
+	g.Expect(ids()).To(Equal([]string{"i-1", "i-2"}), "nothing is known to be recorded")
+	table.Confirm([]Build{old.Build()})
+	g.Expect(ids()).To(Equal([]string{"i-1"}))
+	table.Put(Info{ID: "i-3", Service: "s1"})
+	g.Expect(ids()).To(Equal([]string{"i-1", "i-3"}), "an endpoint without a version is never recorded")
+	table.Remove("i-3")
+	changes = 0
+	table.Confirm([]Build{old.Build(), Info{Service: "s1", Version: "v2"}.Build()})
+	g.Expect(ids()).To(Equal([]string{"i-1", "i-2"}))
+	g.Expect(changes).To(Equal(1), "requests that wait are placed")
+	table.Put(Info{ID: "i-4", Service: "s1", Version: "v3"})
+	table.Remove("i-1")
+	table.Remove("i-2")
+	g.Expect(ids()).To(Equal([]string{"i-4"}), "there is no other endpoint")
+}
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -23,7 +23,9 @@
 	// drained holds the registrations of the processes that have said that they are
 	// leaving. Their next registrations may not say so.
 	drained map[Key]Info
-	lists   atomic.Pointer[map[string][]*Endpoint]
+	// confirmed holds the builds that are recorded where streams begin; nil if that isn't known.
+	confirmed map[Build]bool
+	lists     atomic.Pointer[map[string][]*Endpoint]
 	// onChange is called after each change, without the lock.
 	onChange func()
 }
@@ -35,10 +37,30 @@
 	return t
 }
 
-// Service returns the endpoints of a service that accept new requests, sorted by id.
-// The caller must not modify the slice.
+// Service returns the endpoints of a service that accept new requests, sorted by id. Those
+// whose build isn't confirmed yet are left out while others are. The caller must not modify
+// the slice.
 func (t *Table) Service(name string) []*Endpoint { return (*t.lists.Load())[name] }
 
+// Confirm sets the builds that are recorded where streams begin. A new build takes requests
+// once it is confirmed, or if its service has no endpoint of a confirmed one.
+func (t *Table) Confirm(list []Build) {
+	t.mu.Lock()
+	t.confirmed = make(map[Build]bool, len(list))
+	for _, b := range list {
+		t.confirmed[b] = true
+	}
+	t.rebuild()
+	t.mu.Unlock()
+	t.onChange()
+}
+
+// isConfirmed reports whether an endpoint's build is confirmed. One without a version has a
+// build of its own, which never is recorded. The caller holds the lock.
+func (t *Table) isConfirmed(e *Endpoint) bool {
+	return t.confirmed == nil || e.Info().Version == "" || t.confirmed[e.build]
+}
+
 // ByID returns the endpoint registered under an id.
 func (t *Table) ByID(id string) (*Endpoint, bool) {
 	t.mu.Lock()
@@ -201,6 +223,11 @@
 			lists[e.Service] = append(lists[e.Service], e)
 		}
 	}
+	for service, list := range lists {
+		if slices.ContainsFunc(list, t.isConfirmed) {
+			lists[service] = slices.DeleteFunc(list, func(e *Endpoint) bool { return !t.isConfirmed(e) })
+		}
+	}
 	for _, list := range lists {
 		slices.SortFunc(list, func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	}
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -24,9 +24,7 @@
 		return nil
 	}
 	var known bool
-	if c.meta.Resumes != "" {
-		c.build, known = g.Origins.Find(c.r.Context(), c.workspaceName(), c.meta.Resumes)
-	}
+	c.build, known = g.Origins.Find(c.r.Context(), c.workspaceName(), c.meta.Resumes)
 	if !known {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "not known which version began the stream", retryAfter: originRetryAfter}
 	}
--- a/pkg/gossip/changes.go
+++ b/pkg/gossip/changes.go
@@ -43,9 +43,15 @@
 
 // SendStreams sends a message on streams to a peer. It doesn't block: if the queue is full, the
 // message is dropped and logged, as datagrams may be lost anyway.
-func (n *Node) SendStreams(peer string, data []byte) {
+func (n *Node) SendStreams(peer string, data []byte) { n.send(peer, Message{Streams: data}) }
+
+// SendStreamBatch sends streams to a peer that is to store them, as SendStreams does.
+func (n *Node) SendStreamBatch(peer string, data []byte) { n.send(peer, Message{StreamBatch: data}) }
+
+// send queues a message to one peer.
+func (n *Node) send(peer string, m Message) {
 	select {
-	case n.directed <- directedMessage{peer: peer, message: Message{Streams: data}}:
+	case n.directed <- directedMessage{peer: peer, message: m}:
 	default:
 		n.Log.Warn("failed to send message on streams", "peer", peer, "reason", "send queue full")
 	}
@@ -84,6 +90,9 @@
 	if m.Streams != nil {
 		n.OnStreams(m.ID, m.Streams)
 	}
+	if m.StreamBatch != nil {
+		n.OnStreamBatch(m.StreamBatch)
+	}
 }
 
 // fromKnownPeer reports whether a message has the newest known boot number of its sender
--- a/pkg/gossip/members.go
+++ b/pkg/gossip/members.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/rendezvous"
@@ -61,6 +63,14 @@
 	return rank
 }
 
+// FirstReachable returns the ids of the first n instances, among this one and the reachable
+// peers, in the order of a hash of their ids.
+func (n *Node) FirstReachable(count int) []string {
+	ids := append(n.ReachablePeerIDs(), n.ID)
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(rendezvous.Key(a), rendezvous.Key(b)) })
+	return ids[:min(count, len(ids))]
+}
+
 // Owns reports whether this instance is the one, among itself and the reachable peers, that
 // a key belongs to. Instances that reach the same peers agree on it.
 func (n *Node) Owns(key uint64) bool {
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/medlarsill/medlarsill/pkg/origin"
 	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/speed"
@@ -64,6 +65,11 @@
 	// Streams holds a message on where streams began. Apart from the sender, such a message
 	// has no other fields.
 	Streams []byte `cbor:"18,keyasint,omitempty"`
+	// StreamBatch holds streams that the receiver is to store. Apart from the sender, such a
+	// message has no other fields.
+	StreamBatch []byte `cbor:"19,keyasint,omitempty"`
+	// Builds holds the record of the services' builds; not every message has it.
+	Builds *origin.Builds `cbor:"20,keyasint,omitempty"`
 	// Quarantine holds what requests have in common that crash endpoints.
 	Quarantine []poison.Entry `cbor:"17,keyasint,omitempty"`
 	// RateLimits holds some of the endpoints' rate limits that the sender knows of.
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -49,8 +49,10 @@
 	OnCrashes func(data []byte)
 	// OnStreams is called with a peer's messages on streams.
 	OnStreams func(from string, data []byte)
-	Log       *slog.Logger
-	Now       func() time.Time
+	// OnStreamBatch is called with streams that this instance is to store.
+	OnStreamBatch func(data []byte)
+	Log           *slog.Logger
+	Now           func() time.Time
 }
 
 // Node sends and receives the messages of one instance.
@@ -135,7 +137,7 @@
 	}
 	switch {
 	case m.ID == n.ID:
-	case m.Changes != nil, m.Crashes != nil, m.Streams != nil:
+	case m.Changes != nil, m.Crashes != nil, m.Streams != nil, m.StreamBatch != nil:
 		n.receiveBroadcast(m, from)
 	case n.accept(m, from):
 		n.OnMessage(m)
--- a/pkg/origin/memory.go
+++ b/pkg/origin/memory.go
@@ -43,14 +43,31 @@
 	s.newer[k] = b
 }
 
-// find returns the build of a stream, or false if it isn't known.
-func (m *memory) find(k key, now time.Time) (endpoints.Build, bool) {
+// streamState is what an instance knows of a stream.
+type streamState int
+
+// The states of a stream.
+const (
+	streamUnknown streamState = iota
+	streamKnown
+	// streamContradictory means that two builds are known.
+	streamContradictory
+)
+
+// find returns the build of a stream; 0 unless it is known.
+func (m *memory) find(k key, now time.Time) (endpoints.Build, streamState) {
 	s := &m[k%shards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rotate(now)
-	b, _ := s.get(k)
-	return b, b != 0
+	b, ok := s.get(k)
+	switch {
+	case !ok:
+		return 0, streamUnknown
+	case b == 0:
+		return 0, streamContradictory
+	}
+	return b, streamKnown
 }
 
 func (s *memoryShard) get(k key) (endpoints.Build, bool) {
--- a/pkg/origin/metrics.go
+++ b/pkg/origin/metrics.go
@@ -27,3 +27,25 @@
 	}
 	return "no"
 }
+
+// Results of lookups in the archive.
+const (
+	lookupStream    = "stream"
+	lookupOnlyBuild = "only build"
+	lookupUnknown   = "unknown"
+	lookupFailed    = "failed"
+)
+
+// archiveMetrics counts what is stored and looked up in the archive.
+type archiveMetrics struct {
+	recorded prometheus.Counter
+	lookups  *prometheus.CounterVec
+}
+
+func newArchiveMetrics(reg prometheus.Registerer) *archiveMetrics {
+	factory := promauto.With(reg)
+	return &archiveMetrics{
+		recorded: factory.NewCounter(prometheus.CounterOpts{Name: "medlarsill_origin_archived_total", Help: "Streams that this instance had stored, as several builds of their service served."}),
+		lookups:  factory.NewCounterVec(prometheus.CounterOpts{Name: "medlarsill_origin_archive_lookups_total", Help: "Streams that were looked up in the archive, by result."}, []string{"result"}),
+	}
+}
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -3,8 +3,9 @@
 //
 // The instance at which a stream begins tells two others, its keepers, which are found by a
 // rendezvous hash of the stream's id. An instance that doesn't know a stream asks those that
-// are its keepers now or were until lately. What nobody knows stays unknown. Messages are
-// datagrams; nothing is stored.
+// are its keepers now or were until lately. Messages are datagrams. For streams that no
+// instance knows any more, an Archive in the object store says which builds have served and,
+// if these are several, where streams began. What that doesn't say stays unknown.
 package origin
 
 import (
@@ -32,12 +33,14 @@
 	maxAsks     = 3
 )
 
-// Options configures a Registry. All fields are required.
+// Options configures a Registry. All fields but Archive are required.
 type Options struct {
 	// Peers returns the ids of the reachable peers.
 	Peers func() []string
 	// Send sends a message to a peer. It doesn't block, and the message may be lost.
-	Send    func(peer string, data []byte)
+	Send func(peer string, data []byte)
+	// Archive knows streams that no instance does any more. It may be nil.
+	Archive *Archive
 	Metrics prometheus.Registerer
 	Log     *slog.Logger
 	Now     func() time.Time
@@ -72,6 +75,9 @@
 func (r *Registry) Record(caller, id string, b endpoints.Build) {
 	k := keyOf(caller, id)
 	r.known.add(k, b, r.Now())
+	if r.Archive != nil {
+		r.Archive.record(record{Key: k, Build: b})
+	}
 	m := message{Begun: []record{{Key: k, Build: b}}}
 	for _, peer := range r.closest(k, keepers) {
 		r.send(peer, m)
@@ -85,14 +91,37 @@
 }
 
 // Find returns the build at which the stream of a caller's request began, or false if that
-// isn't known.
+// isn't known. An empty id stands for a request that isn't known.
 func (r *Registry) Find(ctx context.Context, caller, id string) (endpoints.Build, bool) {
+	b, ok := r.find(ctx, caller, id)
+	r.metrics.found.WithLabelValues(foundLabel(ok)).Inc()
+	return b, ok
+}
+
+func (r *Registry) find(ctx context.Context, caller, id string) (endpoints.Build, bool) {
+	if id == "" {
+		return r.findInArchive(ctx, nil)
+	}
 	k := keyOf(caller, id)
-	b, ok := r.known.find(k, r.Now())
-	if !ok {
-		b, ok = r.ask(ctx, k)
+	b, state := r.known.find(k, r.Now())
+	if state != streamUnknown {
+		return b, state == streamKnown
+	}
+	if b, ok := r.ask(ctx, k); ok {
+		return b, true
+	}
+	return r.findInArchive(ctx, &k)
+}
+
+// findInArchive looks a stream up in the archive, and remembers what it says.
+func (r *Registry) findInArchive(ctx context.Context, k *key) (endpoints.Build, bool) {
+	if r.Archive == nil {
+		return 0, false
+	}
+	b, ok := r.Archive.find(ctx, k)
+	if ok && k != nil {
+		r.known.add(*k, b, r.Now())
 	}
-	r.metrics.found.WithLabelValues(foundLabel(ok)).Inc()
 	return b, ok
 }
 
@@ -139,7 +168,7 @@
 	}
 	var answers []record
 	for _, k := range m.Asked {
-		b, _ := r.known.find(k, now)
+		b, _ := r.known.find(k, now) // 0 if it isn't known
 		answers = append(answers, record{Key: k, Build: b})
 	}
 	if len(answers) > 0 {
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -13,6 +13,8 @@
 	hosts      map[string][]*Route
 	services   map[string]*Service
 	workspaces map[string]*Workspace
+	// streamServices holds the services that routes for streams lead to.
+	streamServices []string
 }
 
 // NewTable returns the Table of a configuration.
@@ -20,6 +22,7 @@
 	t := &Table{
 		Config: c, hosts: make(map[string][]*Route),
 		services: make(map[string]*Service), workspaces: make(map[string]*Workspace),
+		streamServices: streamServices(c.Routes),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -61,6 +64,32 @@
 	return s, ok
 }
 
+// StreamServices returns the services that routes for streams lead to. The caller must not
+// modify the slice. A nil table has none.
+func (t *Table) StreamServices() []string {
+	if t == nil {
+		return nil
+	}
+	return t.streamServices
+}
+
+// streamServices returns the services that routes for streams lead to, sorted.
+func streamServices(routes []Route) []string {
+	var out []string
+	for _, r := range routes {
+		if r.Kind != Stream {
+			continue
+		}
+		for _, w := range r.Split {
+			if !slices.Contains(out, w.Service) {
+				out = append(out, w.Service)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Workspace returns the workspace that a key belongs to.
 func (t *Table) Workspace(key string) (*Workspace, bool) {
 	w, ok := t.workspaces[key]
