Streams whose beginning nobody can know are refused without a time to come back; shorter waits of the archive

Change: a lookup tells what won't be known later from what could not be found out now; only the second is told to come back. Up to eight instances and one more for each 64 store streams in turns, so that a stream waits for an eighth of a second for its turn.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -85,9 +85,10 @@
 type Origins interface {
 	// Record records the build at which the stream of a caller's request began or goes on.
 	Record(caller, id string, b endpoints.Build)
-	// Find returns the build at which the stream of a caller's request began, or false if that
-	// isn't known.
-	Find(ctx context.Context, caller, id string) (endpoints.Build, bool)
+	// Find returns the build at which the stream of a caller's request began. An empty id stands
+	// for a request that isn't known. It returns origin.ErrUnknown if that isn't known and won't
+	// be later, or another error if it could not be found out now.
+	Find(ctx context.Context, caller, id string) (endpoints.Build, error)
 }
 
 // Options holds the dependencies of a Gateway. All fields are required.
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/origin"
 )
 
 // originRetryAfter is the Retry-After of requests that resume a stream where it can't go on
@@ -23,11 +25,15 @@
 	if !c.resumes() {
 		return nil
 	}
-	var known bool
-	c.build, known = g.Origins.Find(c.r.Context(), c.workspaceName(), c.meta.Resumes)
-	if !known {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "not known which version began the stream", retryAfter: originRetryAfter}
+	build, err := g.Origins.Find(c.r.Context(), c.workspaceName(), c.meta.Resumes)
+	if errors.Is(err, origin.ErrUnknown) {
+		// To come back is of no use: the caller may begin the stream anew.
+		return &refusal{status: http.StatusServiceUnavailable, reason: "not known which version began the stream"}
 	}
+	if err != nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "not found out which version began the stream", retryAfter: originRetryAfter}
+	}
+	c.build = build
 	if !c.chooseServiceOfBuild() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no endpoint of the version that began the stream", retryAfter: originRetryAfter}
 	}
--- a/pkg/origin/archive.go
+++ b/pkg/origin/archive.go
@@ -22,7 +22,7 @@
 	buildsKey     = prefix + "builds"
 	streamsPrefix = prefix + "streams-"
 	// archiveInterval is the time between two steps of an archive.
-	archiveInterval = 100 * time.Millisecond
+	archiveInterval = 50 * time.Millisecond
 	// streamLife is the time for which a stream may be taken up after it began.
 	streamLife = 2 * time.Minute
 	// confirmTimeout is the time after which an instance records a new build itself, if it
--- a/pkg/origin/archive_read.go
+++ b/pkg/origin/archive_read.go
@@ -48,27 +48,30 @@
 	reading chan struct{}
 }
 
-// find returns the build at which a stream began, or false if the archive doesn't say so. A
-// stream without a key is one that names no beginning.
-func (a *Archive) find(ctx context.Context, k *key) (endpoints.Build, bool) {
+// find returns the build at which a stream began, ErrUnknown if the archive doesn't say so, or
+// ErrNotFound if it can't be read. A stream without a key is one that names no beginning.
+func (a *Archive) find(ctx context.Context, k *key) (endpoints.Build, error) {
 	s, err := a.read(ctx)
 	if err != nil {
 		a.metrics.lookups.WithLabelValues(lookupFailed).Inc()
-		return 0, false
+		return 0, ErrNotFound
 	}
 	if k != nil {
-		if b, ok := s.streams[*k]; ok {
+		b, ok := s.streams[*k]
+		if ok && b == 0 {
+			return 0, ErrUnknown
+		}
+		if ok {
 			a.metrics.lookups.WithLabelValues(lookupStream).Inc()
-			return b, b != 0
+			return b, nil
 		}
 	}
-	b, ok := a.only(s.builds)
-	if ok {
+	if b, ok := a.only(s.builds); ok {
 		a.metrics.lookups.WithLabelValues(lookupOnlyBuild).Inc()
-	} else {
-		a.metrics.lookups.WithLabelValues(lookupUnknown).Inc()
+		return b, nil
 	}
-	return b, ok
+	a.metrics.lookups.WithLabelValues(lookupUnknown).Inc()
+	return 0, ErrUnknown
 }
 
 // read returns what the archive holds, at most readInterval ago. Callers share one read.
--- a/pkg/origin/archive_streams.go
+++ b/pkg/origin/archive_streams.go
@@ -27,7 +27,7 @@
 	collectTime   = writeInterval / minWriters
 	// minWriters is the number of instances that store streams in a small fleet; there is one
 	// more for each membersPerWriter.
-	minWriters       = 4
+	minWriters       = 8
 	membersPerWriter = 64
 	// cleanInterval is the time between two searches for objects of processes that have ended,
 	// and cleanTime how long they go on after several builds have served.
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/rendezvous"
@@ -90,43 +91,60 @@
 	return ranked[:min(n, len(ranked))]
 }
 
-// Find returns the build at which the stream of a caller's request began, or false if that
-// isn't known. An empty id stands for a request that isn't known.
-func (r *Registry) Find(ctx context.Context, caller, id string) (endpoints.Build, bool) {
-	b, ok := r.find(ctx, caller, id)
-	r.metrics.found.WithLabelValues(foundLabel(ok)).Inc()
-	return b, ok
+// Errors of Find.
+var (
+	// ErrUnknown means that where a stream began isn't known, and won't be later.
+	ErrUnknown = eris.New("origin: not known where the stream began")
+	// ErrNotFound means that where a stream began could not be found out now.
+	ErrNotFound = eris.New("origin: not found out where the stream began")
+)
+
+// Find returns the build at which the stream of a caller's request began. An empty id stands
+// for a request that isn't known.
+func (r *Registry) Find(ctx context.Context, caller, id string) (endpoints.Build, error) {
+	b, err := r.find(ctx, caller, id)
+	r.metrics.found.WithLabelValues(foundLabel(err == nil)).Inc()
+	return b, err
 }
 
-func (r *Registry) find(ctx context.Context, caller, id string) (endpoints.Build, bool) {
+func (r *Registry) find(ctx context.Context, caller, id string) (endpoints.Build, error) {
 	if id == "" {
 		return r.findInArchive(ctx, nil)
 	}
 	k := keyOf(caller, id)
 	b, state := r.known.find(k, r.Now())
-	if state != streamUnknown {
-		return b, state == streamKnown
+	switch state {
+	case streamKnown:
+		return b, nil
+	case streamContradictory:
+		return 0, ErrUnknown
 	}
-	if b, ok := r.ask(ctx, k); ok {
-		return b, true
+	b, answered := r.ask(ctx, k)
+	if b != 0 {
+		return b, nil
 	}
-	return r.findInArchive(ctx, &k)
+	b, err := r.findInArchive(ctx, &k)
+	if err == ErrUnknown && !answered {
+		return 0, ErrNotFound
+	}
+	return b, err
 }
 
 // findInArchive looks a stream up in the archive, and remembers what it says.
-func (r *Registry) findInArchive(ctx context.Context, k *key) (endpoints.Build, bool) {
+func (r *Registry) findInArchive(ctx context.Context, k *key) (endpoints.Build, error) {
 	if r.Archive == nil {
-		return 0, false
+		return 0, ErrUnknown
 	}
-	b, ok := r.Archive.find(ctx, k)
-	if ok && k != nil {
+	b, err := r.Archive.find(ctx, k)
+	if err == nil && k != nil {
 		r.known.add(*k, b, r.Now())
 	}
-	return b, ok
+	return b, err
 }
 
-// ask asks peers for a stream, until one knows it, or all have answered that they don't.
-func (r *Registry) ask(ctx context.Context, k key) (endpoints.Build, bool) {
+// ask asks peers for a stream, until one knows it, or all have answered that they don't. It
+// returns 0 if none knows it, and whether there are peers and all have answered.
+func (r *Registry) ask(ctx context.Context, k key) (b endpoints.Build, answered bool) {
 	peers := r.closest(k, maxAsked)
 	if len(peers) == 0 {
 		return 0, false
@@ -139,7 +157,7 @@
 		}
 		select {
 		case b := <-q.result:
-			return b, b != 0
+			return b, true
 		case <-ctx.Done():
 			return 0, false
 		case <-time.After(askInterval):
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -91,8 +91,8 @@
 		n.mu.Lock()
 		r := n.nodes[at(i)]
 		n.mu.Unlock()
-		b, ok := r.Find(context.Background(), "w1", fmt.Sprint("s", i))
-		if ok {
+		b, err := r.Find(context.Background(), "w1", fmt.Sprint("s", i))
+		if err == nil {
 			g.Expect(b).To(Equal(buildOf(i)))
 			count++
 		}
@@ -173,13 +173,13 @@
 		g := NewWithT(t)
 		n := newNetwork(6)
 		began := time.Now()
-		_, ok := n.nodes["gw-0"].Find(context.Background(), "w1", "s1")
-		g.Expect(ok).To(BeFalse())
+		_, err := n.nodes["gw-0"].Find(context.Background(), "w1", "s1")
+		g.Expect(err).To(MatchError(ErrUnknown), "all have answered")
 		g.Expect(time.Since(began)).To(Equal(2 * messageDelay))
 		n.lost = func() bool { return true }
 		began = time.Now()
-		_, ok = n.nodes["gw-0"].Find(context.Background(), "w1", "s1")
-		g.Expect(ok).To(BeFalse())
+		_, err = n.nodes["gw-0"].Find(context.Background(), "w1", "s1")
+		g.Expect(err).To(MatchError(ErrNotFound))
 		g.Expect(time.Since(began)).To(Equal(maxAsks * askInterval))
 		g.Expect(n.nodes["gw-0"].asked.byKey).To(BeEmpty())
 	})
@@ -192,8 +192,8 @@
 	r := n.nodes["gw-0"]
 	r.Record("w1", "s1", 1)
 	for _, other := range [][2]string{{"w2", "s1"}, {"w", "1s1"}, {"w1s", "1"}, {"", "w1s1"}} {
-		_, ok := r.Find(context.Background(), other[0], other[1])
-		g.Expect(ok).To(BeFalse(), "%v", other)
+		_, err := r.Find(context.Background(), other[0], other[1])
+		g.Expect(err).To(HaveOccurred(), "%v", other)
 	}
 }
 
