--- a/pkg/origin/archive_streams.go
+++ b/pkg/origin/archive_streams.go
@@ -21,10 +21,8 @@
 	// maxPending that of streams that wait for being stored.
 	maxUnsent  = 4096
 	maxPending = maxObjectStreams
-	// writeInterval is the least time between two writes of an instance, and collectTime that
-	// in which streams are collected for one.
+	// writeInterval is the least time between two writes of an instance.
 	writeInterval = time.Second
-	collectTime   = writeInterval / minWriters
 	// minWriters is the number of instances that store streams in a small fleet; there is one
 	// more for each membersPerWriter.
 	minWriters       = 8
@@ -155,11 +153,15 @@
 	}
 }
 
+// writers returns the instances that store streams.
+func (a *Archive) writers() []string {
+	return a.Writers(minWriters + a.Members()/membersPerWriter)
+}
+
 // nextWriter returns the instance that stores the streams of this moment. The writers take
 // turns within writeInterval, so that a stream waits for a part of it only.
 func (a *Archive) nextWriter() string {
-	count := minWriters + a.Members()/membersPerWriter
-	writers := a.Writers(count)
+	writers := a.writers()
 	if len(writers) == 0 {
 		return a.Self
 	}
@@ -193,13 +195,14 @@
 }
 
 // nextObject returns the next value of this process's object, if it is time to write it:
-// what comes within collectTime is written together.
+// what comes within this instance's turn is written together.
 func (a *Archive) nextObject() (value []byte, ok bool) {
+	turn := writeInterval / time.Duration(max(1, len(a.writers())))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := &a.streams
 	now := a.Now()
-	due := s.failed || len(s.pending) > 0 && now.Sub(s.pendingSince) >= collectTime
+	due := s.failed || len(s.pending) > 0 && now.Sub(s.pendingSince) >= turn
 	if !due || now.Sub(s.writtenAt) < writeInterval {
 		return nil, false
 	}
