Many instances repeat failed watches less often

Change: from 40 instances on the pause after a failed call grows with their number, up to eight times (1.2 s). Fewer than 40 call as before.

--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -106,10 +106,10 @@
 	}}
 	p.watches = p.newSharedWatches(client)
 	p.store = p.watches
-	p.config = routing.NewFollower(routing.FollowerOptions{Store: p.store, Prefix: platform.ConfigPrefix, IsNewest: platform.IsConfig, Decode: platform.DecodeConfig, Log: log, Now: time.Now,
+	p.config = routing.NewFollower(routing.FollowerOptions{Store: p.store, Prefix: platform.ConfigPrefix, IsNewest: platform.IsConfig, Decode: platform.DecodeConfig, Members: func() int { return p.node.Members() }, Log: log, Now: time.Now,
 		OnChange: func(t *routing.Table) { p.allowances.Open(t.Workspaces) }})
 	p.table = endpoints.NewTable(p.endpointsChanged)
-	p.endpointFollower = endpoints.NewFollower(endpoints.FollowerOptions{Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Log: log, Now: time.Now})
+	p.endpointFollower = endpoints.NewFollower(endpoints.FollowerOptions{Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Members: func() int { return p.node.Members() }, Log: log, Now: time.Now})
 	p.scheduler = schedule.New(p.table, slots, time.Now)
 	p.setUpPeers()
 	p.scheduler.Members = p.node.Members
--- a/pkg/endpoints/follow.go
+++ b/pkg/endpoints/follow.go
@@ -22,14 +22,16 @@
 // Decode decodes one registration. It returns an error if the endpoint can't be used.
 type Decode func(key string, value []byte) (Info, error)
 
-// FollowerOptions holds the options of a Follower. All fields are required.
+// FollowerOptions holds the options of a Follower. All fields but Members are required.
 type FollowerOptions struct {
 	Store  objectstore.Store
 	Prefix string
 	Decode Decode
 	Table  *Table
-	Log    *slog.Logger
-	Now    func() time.Time
+	// Members returns the number of instances; nil stands for a few.
+	Members func() int
+	Log     *slog.Logger
+	Now     func() time.Time
 }
 
 // Follower keeps a table up to date with the registrations in the object store.
@@ -44,7 +46,7 @@
 // NewFollower returns a follower; Run starts it.
 func NewFollower(o FollowerOptions) *Follower {
 	f := &Follower{FollowerOptions: o, synced: make(chan struct{})}
-	f.loop = watch.Loop{Store: o.Store, Prefix: o.Prefix, Name: "endpoint list", Apply: f.apply, CoalesceDelay: batchDelay, Log: o.Log, Now: o.Now}
+	f.loop = watch.Loop{Store: o.Store, Prefix: o.Prefix, Name: "endpoint list", Apply: f.apply, Members: o.Members, CoalesceDelay: batchDelay, Log: o.Log, Now: o.Now}
 	return f
 }
 
--- a/pkg/routing/follow.go
+++ b/pkg/routing/follow.go
@@ -11,7 +11,7 @@
 	"github.com/medlarsill/medlarsill/pkg/watch"
 )
 
-// FollowerOptions configures a Follower. All fields are required.
+// FollowerOptions configures a Follower. All fields but Members are required.
 type FollowerOptions struct {
 	Store  objectstore.Store
 	Prefix string
@@ -20,8 +20,10 @@
 	Decode   func(value []byte) (Config, error)
 	// OnChange is called with each configuration that takes effect.
 	OnChange func(*Table)
-	Log      *slog.Logger
-	Now      func() time.Time
+	// Members returns the number of instances; nil stands for a few.
+	Members func() int
+	Log     *slog.Logger
+	Now     func() time.Time
 }
 
 // Follower watches the object store and keeps the newest configuration that it
@@ -36,7 +38,7 @@
 // NewFollower returns a Follower without a configuration; Run obtains it.
 func NewFollower(o FollowerOptions) *Follower {
 	f := &Follower{FollowerOptions: o}
-	f.loop = watch.Loop{Store: o.Store, Prefix: o.Prefix, Name: "configuration", Apply: f.apply, Log: o.Log, Now: o.Now}
+	f.loop = watch.Loop{Store: o.Store, Prefix: o.Prefix, Name: "configuration", Apply: f.apply, Members: o.Members, Log: o.Log, Now: o.Now}
 	return f
 }
 
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -19,6 +19,13 @@
 // store learns of changes.
 const retryPause = 150 * time.Millisecond
 
+const (
+	// membersPerRetryPause is the number of instances up to which that pause holds. It grows in
+	// proportion for more, up to maxRetryFactor: every call costs money, also one that is refused.
+	membersPerRetryPause = 40
+	maxRetryFactor       = 8
+)
+
 // Loop tracks the objects under a prefix. All exported fields must be set before use.
 type Loop struct {
 	Store  objectstore.Store
@@ -31,8 +38,11 @@
 	// CoalesceDelay is a pause after changes, so that the next call covers several; 0 for
 	// none.
 	CoalesceDelay time.Duration
-	Log           *slog.Logger
-	Now           func() time.Time
+	// Members returns the number of instances that watch the store; nil stands for a few. Many
+	// repeat failed calls less often.
+	Members func() int
+	Log     *slog.Logger
+	Now     func() time.Time
 
 	version     uint64
 	down        bool
@@ -83,7 +93,16 @@
 		l.Log.Warn(l.Name+" watch failed", "error", err.Error(), "position", l.version, "age_ms", l.Age().Milliseconds())
 	}
 	l.down = true
-	sleep.For(ctx, retryPause/2+rand.N(retryPause))
+	pause := l.retryPause()
+	sleep.For(ctx, pause/2+rand.N(pause))
+}
+
+// retryPause returns the mean pause after a failed call.
+func (l *Loop) retryPause() time.Duration {
+	if l.Members == nil {
+		return retryPause
+	}
+	return time.Duration(min(max(1, float64(l.Members())/membersPerRetryPause), maxRetryFactor) * float64(retryPause))
 }
 
 // handleChanges records the new version and applies the changes.
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -101,3 +101,25 @@
 		<-done
 	})
 }
+
+// Guards against an outage in which hundreds of instances repeat refused calls seven times a
+// second, each of which costs money.
+func TestLoop_ManyInstancesRepeatFailedCallsLessOften(t *testing.T) {
+	calls := make(map[int]int)
+	for _, members := range []int{1, 40, 295, 880} {
+		synctest.Test(t, func(t *testing.T) {
+			store := memstore.New()
+			store.SetHook(func(memstore.Op, string) memstore.Fault { return memstore.FaultUnavailable })
+			l := &Loop{Store: store, Prefix: "x/", Name: "objects", Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now, Apply: func(objectstore.Changes, bool) {}, Members: func() int { return members }}
+			ctx, cancel := context.WithTimeout(context.Background(), 9*time.Second)
+			defer cancel()
+			_ = l.Run(ctx)
+			calls[members] = store.Calls()[memstore.OpWatch]
+		})
+	}
+	g := NewWithT(t)
+	g.Expect(calls[1]).To(BeNumerically("~", 60, 15))
+	g.Expect(calls[40]).To(BeNumerically("~", 60, 15))
+	g.Expect(calls[295]).To(BeNumerically("<=", 14))
+	g.Expect(calls[880]).To(BeNumerically(">=", 5), "recovery is noticed within two seconds")
+}
