--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -31,6 +31,10 @@
 	idleMargin = 500 * time.Millisecond
 	// One in speedsInterval messages includes the learned endpoint speeds.
 	speedsInterval = 5
+	// One in allUsageInterval messages includes the counts of all usage windows that are kept,
+	// the others those of the newestWindows that still change.
+	allUsageInterval = 5
+	newestWindows    = 2
 	// storedSource is the source name of the endpoint speeds that are read from the store.
 	storedSource = "stored"
 )
@@ -180,13 +184,21 @@
 	if m.Seq%speedsInterval == 1 {
 		m.Speeds = p.scheduler.Speeds.OwnSummaries()
 	}
-	m.Usage = p.usage.Own()
+	m.Usage = p.usage.Own(usageWindows(m.Seq))
 	m.RateLimits = p.rateLimits.Reports()
 	m.Quarantine = p.poison.NextEntries()
 	m.Fence = p.dutyLease.HighestFence()
 	m.Builds = p.archive.Announcement(m.Seq)
 }
 
+// usageWindows returns the number of usage windows in this instance's n-th message.
+func usageWindows(n uint64) int {
+	if n%allUsageInterval == 1 {
+		return usage.KeptWindows
+	}
+	return newestWindows
+}
+
 // receive processes a message from a peer.
 func (p *process) receive(m gossip.Message) {
 	from := sourceName(m.ID, m.Boot)
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -74,14 +74,14 @@
 	}
 }
 
-// Own returns this source's counts in the newest windows.
-func (l *Ledger) Own() map[int64]map[string]int {
+// Own returns this source's counts in a number of newest windows, KeptWindows at most.
+func (l *Ledger) Own(count int) map[int64]map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[int64]map[string]int)
 	newest := l.Index(l.Now())
 	for index, sources := range l.windows {
-		if own, ok := sources[l.Source]; ok && index > newest-KeptWindows {
+		if own, ok := sources[l.Source]; ok && index > newest-int64(min(count, KeptWindows)) {
 			out[index] = maps.Clone(own)
 		}
 	}
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -34,7 +34,7 @@
 	l.Merge("b/1", map[int64]map[string]int{index: {"w1": 3, "w2": 1}})
 	l.Merge("b/2", map[int64]map[string]int{index: {"w1": 1}})
 	g.Expect(l.Sum(index)).To(Equal(Counts{"w1": 2 + 5 + 1, "w2": 1}))
-	g.Expect(l.Own()).To(Equal(map[int64]map[string]int{index: {"w1": 2}}))
+	g.Expect(l.Own(KeptWindows)).To(Equal(map[int64]map[string]int{index: {"w1": 2}}))
 	g.Expect(l.End(index)).To(BeTemporally("==", time.Unix(105, 0)))
 }
 
@@ -47,7 +47,23 @@
 		now = now.Add(window)
 	}
 	g.Expect(len(l.windows)).To(BeNumerically("<=", 2*KeptWindows+1))
-	g.Expect(len(l.Own())).To(BeNumerically("<=", KeptWindows))
+	g.Expect(len(l.Own(KeptWindows))).To(BeNumerically("<=", KeptWindows))
+}
+
+// Guards against messages to peers that repeat counts which no longer change.
+func TestLedger_TellsNewestWindows(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	l := NewLedger("a/1", window, func() time.Time { return now })
+	for range 4 {
+		l.Began("w1")
+		now = now.Add(window)
+	}
+	now = now.Add(-window)
+	newest := l.Index(now)
+	g.Expect(l.Own(2)).To(Equal(map[int64]map[string]int{newest: {"w1": 1}, newest - 1: {"w1": 1}}))
+	g.Expect(l.Own(KeptWindows)).To(HaveLen(4))
+	g.Expect(l.Own(2 * KeptWindows)).To(HaveLen(4))
 }
 
 // fakeLease is a lease that tests acquire and release directly.
@@ -155,7 +171,7 @@
 					}
 				case 3:
 					from, to := rapid.IntRange(0, 2).Draw(rt, "from"), rapid.IntRange(0, 2).Draw(rt, "to")
-					reporters[to].Ledger.Merge(reporters[from].Ledger.Source, reporters[from].Ledger.Own())
+					reporters[to].Ledger.Merge(reporters[from].Ledger.Source, reporters[from].Ledger.Own(KeptWindows))
 				default:
 					reporters[rapid.IntRange(0, 2).Draw(rt, "reporter")].Ledger.Began("w1")
 				}
