--- a/pkg/origin/archive_test.go
+++ b/pkg/origin/archive_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -30,7 +31,7 @@
 	endpoints []*endpoints.Endpoint
 	// writes holds when each instance's objects with streams were written.
 	writes map[string][]time.Time
-	log    bytes.Buffer
+	log    syncBuffer
 }
 
 // newArchives starts archives before endpoints with the given versions.
@@ -52,7 +53,7 @@
 	defer f.mu.Unlock()
 	f.stop, f.list = stop, nil
 	for i := range count {
-		f.list = append(f.list, f.newArchive(i, firstStart))
+		f.list = append(f.list, f.newArchive(i, count, firstStart))
 	}
 	for _, a := range f.list {
 		a.EndpointsChanged()
@@ -60,12 +61,24 @@
 	}
 }
 
-func (f *archives) newArchive(i int, firstStart bool) *Archive {
+// syncBuffer is a buffer that several loggers write to.
+type syncBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *syncBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(data)
+}
+
+func (f *archives) newArchive(i, count int, firstStart bool) *Archive {
 	id := fmt.Sprint("gw-", i)
 	return NewArchive(ArchiveOptions{
 		Source: fmt.Sprintf("%s-%d", id, time.Now().UnixNano()), Self: id, Store: f.store, Endpoints: f.current,
 		StreamServices: func() []string { return []string{"s1"} }, Confirm: func([]endpoints.Build) {},
-		IsWriter: func() bool { return i == 0 }, Writers: f.first, Members: func() int { return len(f.list) }, Send: f.send,
+		IsWriter: func() bool { return i == 0 }, Writers: func(n int) []string { return firstIDs(min(n, count)) }, Members: func() int { return count }, Send: f.send,
 		FirstStart: firstStart, Metrics: prometheus.NewRegistry(), Log: slog.New(slog.NewTextHandler(&f.log, nil)), Now: time.Now, TrueTime: time.Now,
 	})
 }
@@ -80,16 +93,27 @@
 	return memstore.FaultNone
 }
 
-func (f *archives) first(n int) []string {
+// written returns when each instance's objects with streams were written.
+func (f *archives) written() map[string][]time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.writes)
+}
+
+// firstIDs returns the ids of the first n archives.
+func firstIDs(n int) []string {
 	var out []string
-	for i := range min(n, len(f.list)) {
+	for i := range n {
 		out = append(out, fmt.Sprint("gw-", i))
 	}
 	return out
 }
 
 func (f *archives) send(to string, data []byte) {
-	for _, a := range f.list {
+	f.mu.Lock()
+	list := f.list
+	f.mu.Unlock()
+	for _, a := range list {
 		if a.Self == to {
 			time.AfterFunc(messageDelay, func() { a.ReceiveBatch(data) })
 		}
@@ -176,7 +200,7 @@
 				}
 				time.Sleep(2 * time.Second)
 				total := 0
-				for id, at := range f.writes {
+				for id, at := range f.written() {
 					for i := 1; i < len(at); i++ {
 						g.Expect(at[i].Sub(at[i-1])).To(BeNumerically(">=", writeInterval), id)
 					}
@@ -284,7 +308,7 @@
 		time.Sleep(3 * time.Second)
 		_, err := f.list[1].find(context.Background(), nil)
 		g.Expect(err).To(MatchError(ErrUnknown))
-		g.Expect(f.writes).To(BeEmpty(), "their streams go on at their processes only")
+		g.Expect(f.written()).To(BeEmpty(), "their streams go on at their processes only")
 	})
 }
 
