Archive of streams: the instances that store are computed only when there is something to store

Cause, by reading: each step looked for them, twenty times a second, which ranks all reachable peers by a hash.

Change: the order of the checks; what is stored and when is the same.

--- a/pkg/origin/archive.go
+++ b/pkg/origin/archive.go
@@ -82,10 +82,10 @@
 	// builds is the newest known record of builds, and changedAt when it last changed.
 	builds    Builds
 	changedAt time.Time
-	// registered holds the builds of the registered endpoints, and unversioned those of the ones
-	// that register no version.
-	registered  Builds
-	unversioned map[endpoints.Build]bool
+	// registered holds the builds of the registered endpoints, and withoutVersion those of the
+	// ones that register no version.
+	registered     Builds
+	withoutVersion map[endpoints.Build]bool
 	// unrecordedSince is when a registered build was found that isn't recorded; zero if none.
 	unrecordedSince time.Time
 	// goneSince holds when recorded builds were first found without a registered endpoint.
@@ -144,7 +144,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.registered, a.unversioned = list, unknown
+	a.registered, a.withoutVersion = list, unknown
 }
 
 // wanted returns what the record of builds has to hold: the registered builds, and which
--- a/pkg/origin/archive_streams.go
+++ b/pkg/origin/archive_streams.go
@@ -90,7 +90,7 @@
 // several reports whether several builds of the service of a build serve, or have served
 // lately. The caller must hold mu.
 func (a *Archive) several(build endpoints.Build) bool {
-	if a.unversioned[build] {
+	if a.withoutVersion[build] {
 		return false
 	}
 	for _, s := range a.builds.Services {
@@ -197,15 +197,13 @@
 // nextObject returns the next value of this process's object, if it is time to write it:
 // what comes within this instance's turn is written together.
 func (a *Archive) nextObject() (value []byte, ok bool) {
-	turn := writeInterval / time.Duration(max(1, len(a.writers())))
+	if !a.writeDue() {
+		return nil, false
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := &a.streams
 	now := a.Now()
-	due := s.failed || len(s.pending) > 0 && now.Sub(s.pendingSince) >= turn
-	if !due || now.Sub(s.writtenAt) < writeInterval {
-		return nil, false
-	}
 	s.stored = slices.DeleteFunc(append(s.stored, s.pending...), func(b begunStream) bool { return now.Sub(b.at) > recordTime })
 	s.pending, s.writtenAt, s.severalAt = nil, now, now
 	list := make([]record, 0, len(s.stored))
@@ -220,6 +218,20 @@
 	return value, true
 }
 
+// writeDue reports whether it is time to write this process's object.
+func (a *Archive) writeDue() bool {
+	a.mu.Lock()
+	now, s := a.Now(), &a.streams
+	waiting, failed, since := len(s.pending) > 0, s.failed, s.pendingSince
+	mayWrite := now.Sub(s.writtenAt) >= writeInterval
+	a.mu.Unlock()
+	if !mayWrite || !waiting && !failed {
+		return false
+	}
+	turn := writeInterval / time.Duration(max(1, len(a.writers())))
+	return failed || now.Sub(since) >= turn
+}
+
 // writeObject stores the value of this process's object. After a write whose outcome isn't
 // known, or an object that is not as it was written, the next write begins another object.
 func (a *Archive) writeObject(ctx context.Context, value []byte) error {
@@ -238,12 +250,11 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s.version = o.Version
 	s.failed = err != nil
 	switch {
-	case errors.Is(err, objectstore.ErrUnavailable):
-		s.version = version
-	case err != nil:
+	case err == nil:
+		s.version = o.Version
+	case !errors.Is(err, objectstore.ErrUnavailable):
 		s.object, s.version = s.object+1, 0
 	}
 	return err
