Archive of streams: failed attempts to record builds are repeated rarely, and searches for old records end soon

Cause, by reading: while the store fails, the writer tried twenty times a second to record a new build, and after 3 s all other instances did (the new test: 100 instances, 9 s). A search for old records in a slow store held up the streams that were to be stored. One flag for the log lines of all operations alternated.

Change: 0.5 s between attempts of the writer, 3 s of the others; a search lasts a second at most; one flag for each operation; streams that find no room are told in the log.

--- a/pkg/origin/archive.go
+++ b/pkg/origin/archive.go
@@ -28,6 +28,9 @@
 	// confirmTimeout is the time after which an instance records a new build itself, if it
 	// hasn't heard that another one has.
 	confirmTimeout = 3 * time.Second
+	// recordInterval is the least time between two attempts of the writer to record builds. The
+	// other instances wait for confirmTimeout.
+	recordInterval = 500 * time.Millisecond
 	// writeTimeout limits one write to the store.
 	writeTimeout = 600 * time.Millisecond
 	// announceInterval is the number of messages to peers of which one has the record of builds,
@@ -88,18 +91,20 @@
 	withoutVersion map[endpoints.Build]bool
 	// unrecordedSince is when a registered build was found that isn't recorded; zero if none.
 	unrecordedSince time.Time
+	// recordedAt is when this instance last tried to record builds.
+	recordedAt time.Time
 	// goneSince holds when recorded builds were first found without a registered endpoint.
 	goneSince map[endpoints.Build]time.Time
 	streams   streamWriter
 
 	reader archiveReader
-	// down is true while the store doesn't answer.
-	down bool
+	// failing holds the operations that have failed since they last succeeded.
+	failing map[string]bool
 }
 
 // NewArchive returns an archive; Run keeps it.
 func NewArchive(o ArchiveOptions) *Archive {
-	return &Archive{ArchiveOptions: o, metrics: newArchiveMetrics(o.Metrics), endpointsChanged: make(chan struct{}, 1), goneSince: make(map[endpoints.Build]time.Time)}
+	return &Archive{ArchiveOptions: o, metrics: newArchiveMetrics(o.Metrics), endpointsChanged: make(chan struct{}, 1), goneSince: make(map[endpoints.Build]time.Time), failing: make(map[string]bool)}
 }
 
 // EndpointsChanged tells the archive that the registered endpoints have changed.
@@ -174,8 +179,15 @@
 	}
 	late := unrecorded && now.Sub(a.unrecordedSince) >= confirmTimeout
 	expired := a.noteGone(now)
+	sinceLast := now.Sub(a.recordedAt)
 	a.mu.Unlock()
-	if late || (unrecorded || expired) && a.IsWriter() {
+	if !unrecorded && !expired || sinceLast < recordInterval {
+		return
+	}
+	if late && sinceLast >= confirmTimeout || a.IsWriter() {
+		a.mu.Lock()
+		a.recordedAt = now
+		a.mu.Unlock()
 		a.logOutcome("failed to record builds", a.recordBuilds(ctx, wanted))
 	}
 }
@@ -312,13 +324,13 @@
 	}
 }
 
-// logOutcome logs the first of several failures of the store, and its recovery.
+// logOutcome logs the first of several failures of an operation, and its recovery.
 func (a *Archive) logOutcome(failure string, err error) {
 	switch {
-	case err != nil && !a.down:
+	case err != nil && !a.failing[failure]:
 		a.Log.Warn(failure, "error", err.Error())
-	case err == nil && a.down:
-		a.Log.Info("archive of streams reaches the store again")
+	case err == nil && a.failing[failure]:
+		a.Log.Info("archive of streams reaches the store again", "failed_before", failure)
 	}
-	a.down = err != nil
+	a.failing[failure] = err != nil
 }
--- a/pkg/origin/archive_streams.go
+++ b/pkg/origin/archive_streams.go
@@ -31,6 +31,8 @@
 	// and cleanTime how long they go on after several builds have served.
 	cleanInterval = time.Minute
 	cleanTime     = 10 * time.Minute
+	// cleanTimeout limits the removal of such objects; the next search goes on with it.
+	cleanTimeout = time.Second
 )
 
 // begunStream is a stream that began at a time.
@@ -187,10 +189,13 @@
 	if len(s.pending) == 0 {
 		s.pendingSince = now
 	}
+	room := maxPending - len(s.pending)
+	if len(list) > room {
+		a.Log.Warn("too many streams to store; the rest is unknown after an end of all instances", "dropped", len(list)-room)
+		list = list[:room]
+	}
 	for _, r := range list {
-		if len(s.pending) < maxPending {
-			s.pending = append(s.pending, begunStream{record: r, at: now})
-		}
+		s.pending = append(s.pending, begunStream{record: r, at: now})
 	}
 }
 
@@ -281,7 +286,7 @@
 
 // removeOld removes the objects whose streams can't be taken up any more.
 func (a *Archive) removeOld(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, cleanInterval)
+	ctx, cancel := context.WithTimeout(ctx, cleanTimeout)
 	defer cancel()
 	objects, err := a.Store.List(ctx, prefix)
 	if err != nil {
--- a/pkg/origin/archive_test.go
+++ b/pkg/origin/archive_test.go
@@ -312,6 +312,26 @@
 	})
 }
 
+// Guards against hundreds of instances that all try to record a new build while the store fails.
+func TestArchive_TriesToRecordBuildsRarelyWhileStoreFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newArchives(100, true, "v1")
+		defer f.close()
+		time.Sleep(time.Second)
+		f.exchange()
+		f.store.SetHook(func(memstore.Op, string) memstore.Fault { return memstore.FaultUnavailable })
+		f.setVersions("v1", "v1.1")
+		before := f.calls()
+		time.Sleep(9 * time.Second)
+		g.Expect(f.calls() - before).To(BeNumerically("<=", 9*2+99*3))
+		g.Expect(strings.Count(f.log.String(), `level=WARN msg="failed to record builds`)).To(Equal(100), "one line of each for an outage")
+		f.store.SetHook(f.recordWrite)
+		time.Sleep(4 * time.Second)
+		g.Expect(f.list[0].Announcement(1).all()).To(ContainElement(build("v1.1")))
+	})
+}
+
 // Guards against streams that are lost with a write that failed.
 func TestArchive_StoresStreamsOfFailedWrites(t *testing.T) {
 	for _, fault := range []memstore.Fault{memstore.FaultUnavailable, memstore.FaultLostAnswer, memstore.FaultLostRequest} {
@@ -334,7 +354,7 @@
 			b, err := f.list[0].find(context.Background(), &k)
 			g.Expect(err).NotTo(HaveOccurred(), "fault %v", fault)
 			g.Expect(b).To(Equal(build("v1")))
-			g.Expect(strings.Count(f.log.String(), "failed to store")).To(Equal(1), "one line for an outage")
+			g.Expect(strings.Count(f.log.String(), `level=WARN msg="failed to store`)).To(Equal(1), "one line for an outage")
 		})
 	}
 }
