--- a/pkg/origin/archive_read.go
+++ b/pkg/origin/archive_read.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	// readInterval is how long what was read is used. It is shorter than the time after which a
-	// recorded build is used.
+	// readInterval is how long what was read is used.
 	readInterval = time.Second
 	// failureInterval is the time after a failed read in which none is tried.
 	failureInterval = 200 * time.Millisecond
