--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -31,7 +31,6 @@
 	// reusable is true if the connection can be reused: the response was read to its
 	// end, or nothing was sent.
 	reusable bool
-	sent     time.Time
 	// firstEvent is when the first event of the answer arrived; zero before. survived is true
 	// once the endpoint is known to have survived the beginning of the answer.
 	firstEvent time.Time
@@ -47,7 +46,7 @@
 		if ctx.Err() == nil {
 			p.Endpoint.RecordUnreachable(g.Now())
 		}
-		return outcome{state: stateUnsent, reason: "not reached"}
+		return outcome{state: stateUnsent, reason: "not reached", err: err}
 	}
 	a := &attempt{call: c, placement: p, conn: conn}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
@@ -81,7 +80,7 @@
 	a.recordSend()
 	a.attempts++
 	a.possibleRuns++
-	a.sent = g.Now()
+	a.lastSent = g.Now()
 	a.setResponseDeadline(left)
 	resp, err := a.conn.Do(a.request(left), a.belongsToRequest)
 	if err != nil {
@@ -120,7 +119,7 @@
 	k := e.Key()
 	if meta.RateLimit.Limited || meta.RateLimit.Err != nil || meta.Stamped || meta.NotRun {
 		// An answer without the endpoint's proof may lack what the endpoint announces.
-		g.RateLimits.Observe(k, a.sent, meta.RateLimit)
+		g.RateLimits.Observe(k, a.lastSent, meta.RateLimit)
 	}
 	g.Backoffs.Observe(k, meta.Backoff)
 }
@@ -175,13 +174,13 @@
 	g := a.gateway
 	if ctx.Err() != nil {
 		a.placement.Abandoned()
-		return outcome{state: stateUnknown, reason: "no answer in time"}
+		return outcome{state: stateUnknown, reason: "no answer in time", err: err}
 	}
 	a.recordBreak(err)
 	a.placement.Endpoint.RecordUnreachable(g.Now())
 	g.Pool.CloseIdle(a.placement.Endpoint.Addr)
 	g.Log.Debug("failed to receive response from endpoint", "request", a.meta.ID, "endpoint", a.placement.Endpoint.ID, "error", err.Error(), "reused", a.conn.Reused())
-	return outcome{state: stateUnknown, reason: "connection failed"}
+	return outcome{state: stateUnknown, reason: "connection failed", err: err}
 }
 
 // handleRefusal handles a response with which the endpoint confirms that the
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -43,7 +43,9 @@
 	// number of those in which it may have run.
 	attempts     int
 	possibleRuns int
-	excluded     map[string]bool
+	// lastSent is when the request was last sent; zero if it wasn't.
+	lastSent time.Time
+	excluded map[string]bool
 	// lastEvent is the id of the latest event that the caller has received.
 	lastEvent string
 	// build is the build at which the stream began, and the only one at which it may go on; 0
@@ -101,6 +103,14 @@
 	return poison.Content{Method: c.r.Method, Host: c.r.Host, URI: c.r.RequestURI, Caller: c.workspaceName(), Body: c.body}
 }
 
+// sinceSent returns the time since the request was last sent; 0 if it wasn't.
+func (c *call) sinceSent() time.Duration {
+	if c.lastSent.IsZero() {
+		return 0
+	}
+	return c.gateway.Now().Sub(c.lastSent)
+}
+
 // exclude keeps further attempts of the call from using an endpoint.
 func (c *call) exclude(id string) {
 	if c.excluded == nil {
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -113,7 +113,7 @@
 		a.recordBreak(err)
 		a.placement.Endpoint.RecordFailure(a.gateway.Now())
 	}
-	return outcome{state: stateUnknown, reason: "answer broke off"}
+	return outcome{state: stateUnknown, reason: "answer broke off", err: err}
 }
 
 // recordResponse records in metrics and log that an endpoint's response was relayed.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -50,8 +50,17 @@
 	state state
 	// done is true if the final response was delivered.
 	done bool
-	// reason says why the attempt failed.
+	// reason says why the attempt failed, and err is the error behind it, if there is one.
 	reason string
+	err    error
+}
+
+// errorText returns the text of the error behind a failed attempt, or "".
+func (o outcome) errorText() string {
+	if o.err == nil {
+		return ""
+	}
+	return o.err.Error()
 }
 
 // run attempts the request until it has a final response or may not be retried.
@@ -76,7 +85,7 @@
 		}
 		c.exclude(p.Endpoint.ID)
 		g.Log.Info("attempt failed", "request", c.meta.ID, "endpoint", p.Endpoint.ID, "state", last.state.String(),
-			"reason", last.reason, "attempt", c.attempts, "left_ms", c.deadline.Sub(g.Now()).Milliseconds(),
+			"reason", last.reason, "error", last.errorText(), "after_send_ms", c.sinceSent().Milliseconds(), "attempt", c.attempts, "left_ms", c.deadline.Sub(g.Now()).Milliseconds(),
 			"last_event", c.lastEvent, "resumes", c.meta.Resumes, "version", p.Endpoint.Info().Version, "running", p.Endpoint.TotalLoad().Running, "expected_ms", p.Expected.Milliseconds(), "parts", c.sharedParts(), "content", c.content().Hash(), g.KnownState())
 		if ctx.Err() != nil || !c.mayRetry(last) {
 			c.finish(ctx, last)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -114,7 +114,7 @@
 		a.recordBreak(err)
 		a.placement.Endpoint.RecordUnreachable(a.gateway.Now())
 	}
-	return outcome{state: stateUnknown, reason: "stream broke off"}
+	return outcome{state: stateUnknown, reason: "stream broke off", err: err}
 }
 
 // eventIDs returns the first and the last event id in a series of complete events,
