--- /dev/null
+++ b/pkg/upstream/silence_red_test.go
@@ -0,0 +1,97 @@
+//go:build knownred
+
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
+)
+
+// soundSilence is how long an endpoint may be silent and go on.
+const soundSilence = 1500 * time.Millisecond
+
+// silence makes the kernel drop all that a connection receives, unacknowledged, until the
+// returned function is called.
+func silence(g *WithT, c net.Conn) (end func()) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	g.Expect(err).NotTo(HaveOccurred())
+	dropAll := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET}}
+	var optErr error
+	g.Expect(raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &dropAll)
+	})).To(Succeed())
+	g.Expect(optErr).NotTo(HaveOccurred())
+	return func() {
+		_ = raw.Control(func(fd uintptr) {
+			optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+		})
+		g.Expect(optErr).NotTo(HaveOccurred())
+	}
+}
+
+// Guards against requests that end without an answer since the kernel ends the connection to
+// an endpoint that is silent for a moment, as the request is sent or while it runs.
+func TestConn_AnswersAfterEndpointWasSilent(t *testing.T) {
+	for name, beforeSend := range map[string]bool{"silent as the request is sent": true, "silent while it runs": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			accepted, received := make(chan net.Conn, 1), make(chan struct{}, 2)
+			s := serve(t, func(n int64, c net.Conn) bool {
+				if n == 1 {
+					accepted <- c
+				} else {
+					received <- struct{}{}
+					if !beforeSend {
+						time.Sleep(soundSilence + time.Second)
+					}
+				}
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				return true
+			})
+			p := newPool(time.Now)
+			_, err := roundTrip(p, s.addr(), acceptAny)
+			g.Expect(err).NotTo(HaveOccurred())
+			server := <-accepted
+			go func() {
+				if !beforeSend {
+					<-received
+				}
+				end := silence(g, server)
+				time.Sleep(soundSilence)
+				end()
+			}()
+			time.Sleep(100 * time.Millisecond) // let the silence begin
+			body, err := roundTrip(p, s.addr(), acceptAny)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(body).To(Equal("ok"))
+		})
+	}
+}
+
+// Guards against the same where the option is what it is, whatever the machine's clock does:
+// neither unacknowledged bytes nor unanswered probes may end a connection within soundSilence.
+func TestPool_ConnectionsOutlastSilence(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(int64, net.Conn) bool { return true })
+	c, err := newPool(time.Now).Get(context.Background(), s.addr())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	option := func(name int) (value int) {
+		raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) })).To(Succeed())
+		g.Expect(err).NotTo(HaveOccurred())
+		return value
+	}
+	userTimeout := time.Duration(option(unix.TCP_USER_TIMEOUT)) * time.Millisecond
+	probes := time.Duration(option(unix.TCP_KEEPIDLE)+option(unix.TCP_KEEPINTVL)*option(unix.TCP_KEEPCNT)) * time.Second
+	g.Expect(userTimeout == 0 || userTimeout > 2*soundSilence).To(BeTrue(), "user timeout %v", userTimeout)
+	g.Expect(probes).To(BeNumerically(">=", 2*soundSilence))
+	g.Expect(probes).To(BeNumerically("<=", 10*time.Second), "a connection to an endpoint that is gone must end")
+}
