A connection to an endpoint outlasts a silence of some seconds; new requests go elsewhere meanwhile

Callers saw: 502 to non-idempotent requests, and cut streams, beside an endpoint that was silent for a second and went on. Cause: TCP_USER_TIMEOUT of 0.7 s on connections to endpoints. It ends a connection whose bytes are unacknowledged for that long, and also decides when keep-alive probes give up: at the second one, whatever their count. A timeout of the kernel's was taken for the end of the endpoint, with requests under way that can't be repeated. Evidence: TestConn_AnswersAfterEndpointWasSilent failed with 'connection timed out' in both parts (1.23 s and 2.18 s), TestPool_ConnectionsOutlastSilence with 700 ms. Change: both ways of ending a connection take 5 s. What the short option was there for, that open connections to an endpoint that is gone aren't used again and again, is now a suspicion 0.7 s after the send of a request that the endpoint's kernel hasn't acknowledged (SIOCOUTQ): its idle connections are closed and it is paused, while the request goes on waiting.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -21,6 +21,9 @@
 	responseTimeoutFactor = 3
 	// minResponseTimeout is the minimum of that time, for short objectives.
 	minResponseTimeout = 300 * time.Millisecond
+	// silenceSuspicion is the time after the send of a request at which an endpoint whose kernel
+	// hasn't acknowledged it gets no new requests over the connections that are open.
+	silenceSuspicion = 700 * time.Millisecond
 )
 
 // attempt is the state of one attempt to run a call on an endpoint.
@@ -82,7 +85,9 @@
 	a.possibleRuns++
 	a.lastSent = g.Now()
 	a.setResponseDeadline(left)
+	suspicion := time.AfterFunc(silenceSuspicion, a.suspectSilence)
 	resp, err := a.conn.Do(a.request(left), a.belongsToRequest)
+	suspicion.Stop()
 	if err != nil {
 		return a.handleNoResponse(ctx, err)
 	}
@@ -99,6 +104,18 @@
 	return a.relay(ctx, resp)
 }
 
+// suspectSilence keeps new requests away from an endpoint that hasn't acknowledged this one. This
+// one goes on waiting: the endpoint may go on.
+func (a *attempt) suspectSilence() {
+	if !a.conn.Unacknowledged() {
+		return
+	}
+	g, e := a.gateway, a.placement.Endpoint
+	e.RecordUnreachable(g.Now())
+	g.Pool.CloseIdle(e.Addr)
+	g.Log.Info("endpoint silent", "endpoint", e.ID, "request", a.meta.ID)
+}
+
 // recordSend records that the request is sent to the endpoint.
 func (a *attempt) recordSend() {
 	k := a.placement.Endpoint.Key()
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // Errors of Pool.Get and Conn.Do, possibly wrapped.
@@ -148,6 +149,25 @@
 	}
 }
 
+// Unacknowledged reports whether the endpoint's kernel has not acknowledged all that was sent.
+// It may be called while the connection is in use.
+func (c *Conn) Unacknowledged() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unsent := 0
+	err = raw.Control(func(fd uintptr) {
+		// An error leaves the number at 0: nothing is known.
+		unsent, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	return err == nil && unsent > 0
+}
+
 // inputEmpty reports whether an idle connection is still open and has no unread
 // input. Input on an idle connection belongs to no request.
 func (c *Conn) inputEmpty() bool {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -16,10 +16,13 @@
 	// DefaultDialTimeout bounds the opening of a connection, which takes
 	// milliseconds for a healthy endpoint.
 	DefaultDialTimeout = 150 * time.Millisecond
-	// userTimeout is how long sent bytes may remain unacknowledged (TCP_USER_TIMEOUT).
-	userTimeout = 700 * time.Millisecond
+	// silenceLimit is how long an endpoint's kernel may acknowledge nothing before the connection
+	// ends. A sound endpoint may be silent for a second or two.
+	silenceLimit = 5 * time.Second
 	// keepAlivePeriod is the idle time before, and the interval between, TCP keep-alive probes.
 	keepAlivePeriod = time.Second
+	// keepAliveProbes is the number of unanswered probes that ends a connection.
+	keepAliveProbes = int(silenceLimit/keepAlivePeriod) - 1
 	// defaultIdleTimeout is assumed for endpoints that send no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
 	// idleTimeoutShare is the fraction of the endpoint's idle timeout after which a
@@ -96,17 +99,18 @@
 
 func (p *Pool) dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: p.DialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2,
+		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes,
 	}}
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// setUserTimeout makes the kernel close a connection whose peer does not
-// acknowledge sent bytes within userTimeout.
+// setUserTimeout makes the kernel close a connection whose peer acknowledges neither bytes nor
+// keep-alive probes within silenceLimit. The option also decides when probes give up, whatever
+// their count.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceLimit.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/pkg/upstream/silence_red_test.go
+++ b/pkg/upstream/silence_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package upstream
 
 import (
@@ -95,3 +93,26 @@
 	g.Expect(probes).To(BeNumerically(">=", 2*soundSilence))
 	g.Expect(probes).To(BeNumerically("<=", 10*time.Second), "a connection to an endpoint that is gone must end")
 }
+
+// Guards against endpoints whose silence isn't noticed while a request to them is under way.
+func TestConn_TellsUnacknowledgedRequest(t *testing.T) {
+	g := NewWithT(t)
+	accepted := make(chan net.Conn, 1)
+	s := serve(t, func(_ int64, c net.Conn) bool {
+		accepted <- c
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	p := newPool(time.Now)
+	_, err := roundTrip(p, s.addr(), acceptAny)
+	g.Expect(err).NotTo(HaveOccurred())
+	c, err := p.Get(context.Background(), s.addr())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	g.Eventually(c.Unacknowledged).Should(BeFalse())
+	end := silence(g, <-accepted)
+	defer end()
+	_, err = c.Write([]byte("GET / HTTP/1.1\r\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Consistently(c.Unacknowledged).Should(BeTrue())
+}
