A silent endpoint is given up only when another attempt is permitted and has a slot

Callers saw: 502, or a stream that was cut, beside endpoints that were silent for a second or so and went on. Cause: our own limits on silence (three latency objectives without a response, five longest gaps of a stream) ended the attempt first and asked only then whether the retry budget permits another and whether an endpoint has room. Where either said no, the answer that was on its way was thrown away: a timeout was taken for a failure before anything better was certain, as with the kernel's option. Change: at the limit the attempt looks for its successor (budget, poison, number of runs, a free slot) and takes its slot; only then does the read end.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -34,6 +34,8 @@
 	// reusable is true if the connection can be reused: the response was read to its
 	// end, or nothing was sent.
 	reusable bool
+	// silent is true once the endpoint was silent for longer than the limit.
+	silent bool
 	// firstEvent is when the first event of the answer arrived; zero before. survived is true
 	// once the endpoint is known to have survived the beginning of the answer.
 	firstEvent time.Time
@@ -152,10 +154,10 @@
 // sent to another endpoint. Otherwise only the call's context limits it.
 func (a *attempt) setResponseDeadline(left time.Duration) {
 	if !a.route.Repeatable() || a.possibleRuns >= a.route.MaxAttempts {
-		_ = a.conn.SetReadDeadline(time.Time{})
+		a.waitWithoutLimit()
 		return
 	}
-	_ = a.conn.SetReadDeadline(a.gateway.Now().Add(min(left, a.responseTimeout())))
+	a.limitSilence(min(left, a.responseTimeout()))
 }
 
 // responseTimeout returns how long an endpoint may take for the head or the body of a
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -46,6 +46,8 @@
 	// lastSent is when the request was last sent; zero if it wasn't.
 	lastSent time.Time
 	excluded map[string]bool
+	// successor is the slot for the next attempt, if one was taken before the last one ended.
+	successor *schedule.Placement
 	// lastEvent is the id of the latest event that the caller has received.
 	lastEvent string
 	// build is the build at which the stream began, and the only one at which it may go on; 0
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -26,6 +26,8 @@
 type Placer interface {
 	// Place waits for a free slot on an endpoint and places the request there.
 	Place(ctx context.Context, d schedule.Request) (*schedule.Placement, error)
+	// TryPlace places a request that was placed before without waiting, or returns nil.
+	TryPlace(d schedule.Request) *schedule.Placement
 }
 
 // Allowance enforces the rate limits of workspaces.
@@ -45,6 +47,8 @@
 	// Allow reports whether the retry budget of a service permits one more send, and
 	// if so deducts it.
 	Allow(service string) bool
+	// Available reports the same, and deducts nothing.
+	Available(service string) bool
 }
 
 // Usage counts the requests that ran.
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -5,7 +5,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -33,7 +32,7 @@
 			return outcome{state: stateUnknown, reason: "answer without end"}
 		}
 		response.rest = resp.Body
-		_ = a.conn.SetReadDeadline(time.Time{})
+		a.waitWithoutLimit()
 	}
 	if resp.StatusCode >= http.StatusInternalServerError && response.rest == nil && a.mayRetryFailure() {
 		a.reusable = true
@@ -52,11 +51,11 @@
 // setBodyDeadline limits the wait for the end of a response that may be endless, and for
 // no other.
 func (a *attempt) setBodyDeadline(resp *http.Response) {
-	until := time.Time{}
-	if a.mayBeEndless(resp) {
-		until = a.gateway.Now().Add(a.responseTimeout())
+	if !a.mayBeEndless(resp) {
+		a.waitWithoutLimit()
+		return
 	}
-	_ = a.conn.SetReadDeadline(until)
+	a.limitSilence(a.responseTimeout())
 }
 
 // mayBeEndless reports whether a response is not known to end soon, and should be tried on
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -66,10 +66,11 @@
 // run attempts the request until it has a final response or may not be retried.
 func (c *call) run(ctx context.Context) {
 	defer c.endProbe()
+	defer c.endSuccessor()
 	g := c.gateway
 	last := outcome{state: stateUnsent}
 	for {
-		p, err := g.Placer.Place(ctx, c.placementRequest())
+		p, err := c.place(ctx)
 		if err != nil {
 			c.failPlacement(ctx, err, last)
 			return
@@ -87,7 +88,7 @@
 		g.Log.Info("attempt failed", "request", c.meta.ID, "endpoint", p.Endpoint.ID, "state", last.state.String(),
 			"reason", last.reason, "error", last.errorText(), "after_send_ms", c.sinceSent().Milliseconds(), "attempt", c.attempts, "left_ms", c.deadline.Sub(g.Now()).Milliseconds(),
 			"last_event", c.lastEvent, "resumes", c.meta.Resumes, "version", p.Endpoint.Info().Version, "running", p.Endpoint.TotalLoad().Running, "expected_ms", p.Expected.Milliseconds(), "parts", c.sharedParts(), "content", c.content().Hash(), g.KnownState())
-		if ctx.Err() != nil || !c.mayRetry(last) {
+		if ctx.Err() != nil || c.successor == nil && !c.mayRetry(last) {
 			c.finish(ctx, last)
 			return
 		}
@@ -109,7 +110,7 @@
 	case stateAnswered:
 		return true // mayRetryFailure has already deducted the retry
 	case stateUnknown:
-		return c.route.Repeatable() && c.possibleRuns < max(c.route.MaxAttempts, 1) && c.gateway.Poison.MayResend(c.traits) && c.gateway.Retries.Allow(c.service)
+		return c.mayRunAgain() && c.gateway.Retries.Allow(c.service)
 	}
 	return false
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 )
 
 const (
@@ -91,11 +90,11 @@
 // setEventDeadline limits the wait for the next event if the stream may be resumed
 // on another endpoint.
 func (a *attempt) setEventDeadline() {
-	until := time.Time{}
-	if a.route.Repeatable() && a.route.GapTarget > 0 && a.possibleRuns < a.route.MaxAttempts {
-		until = a.gateway.Now().Add(stallTimeoutFactor * a.route.GapTarget)
+	if !a.route.Repeatable() || a.route.GapTarget <= 0 || a.possibleRuns >= a.route.MaxAttempts {
+		a.waitWithoutLimit()
+		return
 	}
-	_ = a.conn.SetReadDeadline(until)
+	a.limitSilence(stallTimeoutFactor * a.route.GapTarget)
 }
 
 // finishStream handles a stream that ended normally.
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -50,10 +50,7 @@
 func (b *Budget) Take(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if d := now.Sub(b.refilledAt); d > 0 {
-		b.tokens = min(b.burst, b.tokens+d.Seconds()*b.floor)
-		b.refilledAt = now
-	}
+	b.refill(now)
 	if b.tokens < 1 {
 		return false
 	}
@@ -61,6 +58,22 @@
 	return true
 }
 
+// Available reports whether a retry is left.
+func (b *Budget) Available(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	return b.tokens >= 1
+}
+
+// refill adds the retries that the time since the last call earns. The caller holds the lock.
+func (b *Budget) refill(now time.Time) {
+	if d := now.Sub(b.refilledAt); d > 0 {
+		b.tokens = min(b.burst, b.tokens+d.Seconds()*b.floor)
+		b.refilledAt = now
+	}
+}
+
 // Allow removes one retry from the budget, or returns false if none is left. It is
 // for callers that do not use Policy.Next.
 func (b ServiceBudget) Allow() bool { return b.policy.budget(b.service).Take(b.policy.now()) }
--- a/pkg/retry/shared.go
+++ b/pkg/retry/shared.go
@@ -37,9 +37,19 @@
 // Allow removes one retry from the budget of a service, or returns false if none
 // is left.
 func (s *SharedBudget) Allow(service string) bool {
+	return s.currentBudget(service).Take(s.now())
+}
+
+// Available reports whether a retry is left in the budget of a service.
+func (s *SharedBudget) Available(service string) bool {
+	return s.currentBudget(service).Available(s.now())
+}
+
+// currentBudget returns the budget of a service for the present number of instances.
+func (s *SharedBudget) currentBudget(service string) *Budget {
 	b := s.budget(service)
 	b.setBurst(s.extra / float64(max(1, s.instances())))
-	return b.Take(s.now())
+	return b
 }
 
 // budget returns the budget of a service and creates it if necessary.
--- a/pkg/retry/shared_test.go
+++ b/pkg/retry/shared_test.go
@@ -59,3 +59,15 @@
 	g.Expect(s.Allow("s1")).To(BeFalse())
 	g.Expect(s.Allow("s2")).To(BeTrue())
 }
+
+// Guards against a look at the budget that uses it up.
+func TestSharedBudget_AvailableDeductsNothing(t *testing.T) {
+	g := NewWithT(t)
+	b := NewSharedBudget(0, 4, func() int { return 1 }, func() time.Time { return time.Unix(1, 0) })
+	for range 10 {
+		g.Expect(b.Available("s1")).To(BeTrue())
+	}
+	g.Expect(b.Allow("s1")).To(BeTrue())
+	g.Expect(b.Available("s1")).To(BeFalse())
+	g.Expect(b.Allow("s1")).To(BeFalse())
+}
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -193,6 +193,19 @@
 	return s.waitForSlot(ctx, q, w, limit)
 }
 
+// TryPlace takes a free slot for a request that was placed before, without waiting. It returns
+// nil if there is none, or if other requests wait for one.
+func (s *Scheduler) TryPlace(r Request) *Placement {
+	q := s.queueFor(r.Service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.blocks() {
+		return nil
+	}
+	p, _ := s.tryPlace(r, s.Now()) // why there is none makes no difference
+	return p
+}
+
 // recordWork adds a new request to the engine time requested of its service.
 func (s *Scheduler) recordWork(r Request) {
 	speeds := s.Speeds.Service(r.Service)
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -42,9 +42,10 @@
 // Conn is one connection to an endpoint. It carries one request at a time.
 type Conn struct {
 	net.Conn
-	// br reads from the connection through head.
-	br   *bufio.Reader
-	head *headLimiter
+	// br reads from the connection through head and reader.
+	br     *bufio.Reader
+	head   *headLimiter
+	reader *deadlineReader
 	// idleSince is when the connection was last returned to the pool.
 	idleSince time.Time
 	// idleTimeout is the endpoint's timeout for idle connections; 0 if unknown.
@@ -56,8 +57,9 @@
 }
 
 func newConn(c net.Conn) *Conn {
-	head := &headLimiter{r: c}
-	return &Conn{Conn: c, br: bufio.NewReaderSize(head, bufferBytes), head: head}
+	reader := &deadlineReader{Conn: c}
+	head := &headLimiter{r: reader}
+	return &Conn{Conn: c, br: bufio.NewReaderSize(head, bufferBytes), head: head, reader: reader}
 }
 
 // Reused reports whether the connection has carried an earlier request.
