Gateway: sockets are open before anything runs, and a process says why it ends

Cause: the process tests chose ports, released them and had processes take them later, so that with several test binaries at once another process could take a port meanwhile. A process that ended for a component's error told only its caller; its own log ended without a reason.

Change: the process opens its four sockets before its components run (gossip.Node.Open, httpserver.Serve) and logs which server can't listen. Port 0 in the settings of a process or of a node means one that is chosen, so tests give that one and ask for the addresses. Each component's error is logged by its name before the others are stopped. A failed process test prints the log of its processes and stops them.

TestListen_LogsServerWhosePortIsTaken and TestProcess_LogsErrorOfComponent fail without the two log lines. That a process listens on a released port isn't tested: there is no such code any more.

--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -10,7 +10,6 @@
 
 	"github.com/google/uuid"
 
-	"github.com/medlarsill/medlarsill/pkg/actors"
 	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
@@ -96,14 +95,14 @@
 	wg.Wait()
 }
 
-// dutyActors returns the lease's actor and those of the duties in the settings.
-func (p *process) dutyActors() []actors.Actor {
-	list := []actors.Actor{p.dutyLease.Run}
+// dutyComponents returns the lease and the duties in the settings.
+func (p *process) dutyComponents() []component {
+	list := []component{{"lease", p.dutyLease.Run}}
 	if slices.Contains(p.cfg.Duties, settings.DutyUsage) {
-		list = append(list, p.reporter.Run)
+		list = append(list, component{"usage reports", p.reporter.Run})
 	}
 	if slices.Contains(p.cfg.Duties, settings.DutyCapacity) {
-		list = append(list, p.planner.Run)
+		list = append(list, component{"capacity plan", p.planner.Run})
 	}
 	return list
 }
--- a/cmd/medlarsill-gateway/main.go
+++ b/cmd/medlarsill-gateway/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"context"
 	"os"
 
 	"github.com/medlarsill/medlarsill/pkg/logging"
@@ -20,7 +21,10 @@
 	out := logging.NewAsync(os.Stdout)
 	log := logging.New(cfg.Log, out)
 	p := newProcess(cfg, file, log)
-	err := p.run(out)
+	err := p.listen(context.Background())
+	if err == nil {
+		err = p.run(out)
+	}
 	if err != nil {
 		log.Error("stopped", "error", err.Error())
 	}
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -91,6 +91,7 @@
 	dutyLease        *lease.Lease
 	reporter         *usage.Reporter
 	planner          *scaling.Planner
+	listeners        listeners
 	startedAt        time.Time
 	stopping         atomic.Bool
 	// stopRequested is closed to request a planned stop.
@@ -180,43 +181,40 @@
 	}
 }
 
-// run serves requests until a signal, and then stops gracefully.
+// run serves requests until a signal, and then stops gracefully. listen must have
+// been called.
 func (p *process) run(out *logging.Async) error {
 	p.log.Info("started", "id", p.cfg.ID, "data_centre", p.cfg.DataCentre)
 	ready := httpserver.New(p.cfg.ReadyListen, p.readiness())
 	metrics := httpserver.New(p.cfg.MetricsListen, httpserver.Operations(p.metrics, p.ready))
-	components := []actors.Actor{
-		out.Run,
-		p.stopOnSignal,
-		p.reloadOnSignal,
-		p.config.Run,
-		p.endpointFollower.Run,
-		p.ingress.Sweep,
-		p.sweepPool,
-		p.logSpeeds,
-		p.tickRateLimits,
-		p.poison.Run,
-		p.keepQuarantine,
-		p.runPeers,
-		p.loadSpeeds,
-		p.archive.Run,
-		p.registry.Run,
-		p.serve,
-		func(ctx context.Context) error { return httpserver.Run(ctx, ready, 0) },
-		func(ctx context.Context) error { return httpserver.Run(ctx, metrics, 0) },
+	components := []component{
+		{"log", out.Run},
+		{"stop", p.stopOnSignal},
+		{"reload", p.reloadOnSignal},
+		{"configuration", p.config.Run},
+		{"endpoints", p.endpointFollower.Run},
+		{"ingress limits", p.ingress.Sweep},
+		{"endpoint connections", p.sweepPool},
+		{"speed log", p.logSpeeds},
+		{"rate limits", p.tickRateLimits},
+		{"poison", p.poison.Run},
+		{"quarantine", p.keepQuarantine},
+		{"peers", p.runPeers},
+		{"speeds", p.loadSpeeds},
+		{"stream archive", p.archive.Run},
+		{"registration", p.registry.Run},
+		{"callers", p.serve},
+		{"readiness", func(ctx context.Context) error { return httpserver.Serve(ctx, ready, p.listeners.ready, 0) }},
+		{"metrics", func(ctx context.Context) error { return httpserver.Serve(ctx, metrics, p.listeners.metrics, 0) }},
 	}
-	err := actors.Run(append(components, p.dutyActors()...)...)
+	err := actors.Run(p.logErrors(append(components, p.dutyComponents()...))...)
 	p.releaseDuties()
 	return err
 }
 
 func (p *process) serve(ctx context.Context) error {
-	l, err := p.ingress.Listen(ctx)
-	if err != nil {
-		return err
-	}
 	failed := make(chan error, 1)
-	go func() { failed <- p.ingress.Serve(l) }()
+	go func() { failed <- p.ingress.Serve(p.listeners.callers) }()
 	select {
 	case err := <-failed:
 		if !errors.Is(err, http.ErrServerClosed) {
--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,25 +30,8 @@
 // waitTimeout limits the waits of these tests; passing tests don't reach it.
 const waitTimeout = 20 * time.Second
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
-func freePort(t *testing.T) int {
-	t.Helper()
-	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	return c.LocalAddr().(*net.UDPAddr).Port
-}
+// anyPort is an address on loopback whose port is chosen when a process listens there.
+const anyPort = "127.0.0.1:0"
 
 // testPlatform is a fake platform with two endpoints, and the log of the gateway
 // processes on it.
@@ -79,6 +64,11 @@
 func newTestPlatform(t *testing.T) *testPlatform {
 	t.Helper()
 	s := &testPlatform{g: NewWithT(t), store: platformtest.NewStore(), cloud: platformtest.NewCloud(), log: &logBuffer{}}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("log of the processes:\n" + s.log.String())
+		}
+	})
 	t.Cleanup(s.store.Close)
 	t.Cleanup(s.cloud.Close)
 	for i := range 2 {
@@ -91,32 +81,46 @@
 	return s
 }
 
-// gatewayProcess is a running gateway process.
+// gatewayProcess is a running gateway process. done is closed when it has ended, with err.
 type gatewayProcess struct {
 	*process
-	done chan error
+	done chan struct{}
+	err  error
 }
 
-func (s *testPlatform) start(t *testing.T, id string) *gatewayProcess {
-	t.Helper()
-	cfg := settings.Gateway{
-		ID: id, DataCentre: "dc-a", Listen: freeAddr(t), ReadyListen: freeAddr(t), MetricsListen: freeAddr(t),
-		IP: "127.0.0.1", PeerPort: freePort(t), ObjectAPI: s.store.Addr(), CloudAPI: s.cloud.Addr(), Duties: []string{"usage", "autoscale"},
+// settings returns the settings of a gateway process that listens on ports of its choice.
+func (s *testPlatform) settings(id string) settings.Gateway {
+	return settings.Gateway{
+		ID: id, DataCentre: "dc-a", Listen: anyPort, ReadyListen: anyPort, MetricsListen: anyPort,
+		IP: "127.0.0.1", ObjectAPI: s.store.Addr(), CloudAPI: s.cloud.Addr(), Duties: []string{"usage", "autoscale"},
 		MemoryMB: 256, StopGraceS: 3, LeaseMS: 900, RetryShare: 0.2, RetryExtra: 50,
 		AllowanceOver: 0.1, UsageWindowS: 1, Log: settings.Log{Format: "json", Level: "info"},
 	}
+}
+
+// start starts a process. It is stopped at the end of the test, if it still runs.
+func (s *testPlatform) start(t *testing.T, id string) *gatewayProcess {
+	t.Helper()
 	out := logging.NewAsync(s.log)
-	p := &gatewayProcess{process: newProcess(cfg, "", slog.New(slog.NewJSONHandler(out, nil))), done: make(chan error, 1)}
-	go func() { p.done <- p.run(out) }()
+	p := &gatewayProcess{process: newProcess(s.settings(id), "", slog.New(slog.NewJSONHandler(out, nil))), done: make(chan struct{})}
+	s.g.Expect(p.listen(t.Context())).To(Succeed())
+	go func() {
+		defer close(p.done)
+		p.err = errors.Join(p.run(out), out.Flush())
+	}()
+	t.Cleanup(func() { p.stop(s.g) })
 	return p
 }
 
-// stop stops a process as a signal does.
+// stop stops a process as a signal does, unless that was done already.
 func (p *gatewayProcess) stop(g *WithT) {
-	p.requestStop()
-	var err error
-	g.Eventually(p.done, waitTimeout).Should(Receive(&err))
-	g.Expect(err).NotTo(HaveOccurred())
+	select {
+	case <-p.stopRequested:
+	default:
+		p.requestStop()
+	}
+	g.Eventually(p.done, waitTimeout).Should(BeClosed())
+	g.Expect(p.err).NotTo(HaveOccurred())
 }
 
 func (p *gatewayProcess) get(path string) (int, string) {
@@ -130,7 +134,7 @@
 }
 
 func (p *gatewayProcess) getWith(path string, header http.Header) (int, string) {
-	req, err := http.NewRequest("GET", "http://"+p.cfg.Listen+path, nil)
+	req, err := http.NewRequest("GET", "http://"+p.listeners.callers.Addr().String()+path, nil)
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -153,7 +157,7 @@
 }
 
 func (p *gatewayProcess) scrape() string {
-	resp, err := http.Get("http://" + p.cfg.MetricsListen + "/metrics")
+	resp, err := http.Get("http://" + p.listeners.metrics.Addr().String() + "/metrics")
 	if err != nil {
 		return err.Error()
 	}
@@ -163,7 +167,7 @@
 }
 
 func (p *gatewayProcess) readiness() int {
-	resp, err := http.Get("http://" + p.cfg.ReadyListen + platform.ReadyPath)
+	resp, err := http.Get("http://" + p.listeners.ready.Addr().String() + platform.ReadyPath)
 	if err != nil {
 		return 0
 	}
@@ -256,12 +260,7 @@
 	g.Eventually(first.status("/v1/"), waitTimeout).Should(Equal(503), "once both endpoints have announced the limit")
 	g.Eventually(second.status("/v1/"), waitTimeout).Should(Equal(503), "which it was told")
 	g.Eventually(second.rateLimits.Active, waitTimeout).Should(Equal(2))
-	metrics, err := http.Get("http://" + second.cfg.MetricsListen + "/metrics")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer metrics.Body.Close()
-	text, err := io.ReadAll(metrics.Body)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(text)).To(ContainSubstring("medlarsill_endpoint_rate_limits 2"))
+	g.Expect(second.scrape()).To(ContainSubstring("medlarsill_endpoint_rate_limits 2"))
 	first.stop(g)
 	second.stop(g)
 }
@@ -338,3 +337,39 @@
 		g.Expect(p.idleConns(&routing.Service{Name: "s1", MaxConns: c.conns}, table.Service("s1")[0])).To(Equal(c.want))
 	}
 }
+
+// Guards against a process that ends because a port is taken, and whose own log doesn't say so.
+func TestListen_LogsServerWhosePortIsTaken(t *testing.T) {
+	s := newTestPlatform(t)
+	running := s.start(t, "gw-1")
+	for server, change := range map[string]func(cfg *settings.Gateway){
+		"callers":   func(cfg *settings.Gateway) { cfg.Listen = running.listeners.callers.Addr().String() },
+		"readiness": func(cfg *settings.Gateway) { cfg.ReadyListen = running.listeners.ready.Addr().String() },
+		"metrics":   func(cfg *settings.Gateway) { cfg.MetricsListen = running.listeners.metrics.Addr().String() },
+		"peers":     func(cfg *settings.Gateway) { cfg.PeerPort = int(running.node.Listen.Port()) },
+	} {
+		t.Run(server, func(t *testing.T) {
+			g := NewWithT(t)
+			cfg := s.settings("gw-2")
+			change(&cfg)
+			var out logBuffer
+			p := newProcess(cfg, "", slog.New(slog.NewJSONHandler(&out, nil)))
+			g.Expect(p.listen(t.Context())).To(MatchError(syscall.EADDRINUSE))
+			g.Expect(out.String()).To(And(ContainSubstring(`"msg":"failed to listen"`), ContainSubstring(fmt.Sprintf(`"server":%q`, server)), ContainSubstring("address already in use")))
+		})
+	}
+}
+
+// Guards against a process that ends because of a component's error, and whose own log doesn't
+// say so.
+func TestProcess_LogsErrorOfComponent(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestPlatform(t)
+	out := logging.NewAsync(s.log)
+	p := newProcess(s.settings("gw-1"), "", slog.New(slog.NewJSONHandler(out, nil)))
+	g.Expect(p.listen(t.Context())).To(Succeed())
+	g.Expect(p.listeners.metrics.Close()).To(Succeed())
+	g.Expect(p.run(out)).To(MatchError(net.ErrClosed))
+	g.Expect(out.Flush()).To(Succeed())
+	g.Expect(s.log.String()).To(And(ContainSubstring(`"msg":"component failed","component":"metrics"`), ContainSubstring("use of closed network connection")))
+}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/netip"
 	"slices"
 	"testing"
@@ -275,10 +274,15 @@
 func TestNode_ReceivesMessagesOverUDP(t *testing.T) {
 	g := NewWithT(t)
 	received := make(chan Message, 1)
-	a, b := freePort(t), freePort(t)
-	start := func(id string, at netip.AddrPort, other netip.AddrPort, onMessage func(Message)) func() {
-		n := NewNode(Options{ID: id, Boot: 1, Listen: at, Fill: func(m *Message) { m.Config = 42 }, OnMessage: onMessage, Log: discard, Now: time.Now})
-		n.SetMembers(registered(map[string]netip.AddrPort{"other": other}))
+	a := openNode(t, "a", func(m *Message) { m.Config = 42 }, func(Message) {})
+	b := openNode(t, "b", func(*Message) {}, func(m Message) {
+		select {
+		case received <- m:
+		default:
+		}
+	})
+	start := func(n, other *Node) func() {
+		n.SetMembers(registered(map[string]netip.AddrPort{"other": other.Listen}))
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
 		go func() { done <- n.Run(ctx) }()
@@ -287,13 +291,7 @@
 			g.Expect(<-done).To(Succeed())
 		}
 	}
-	stopA := start("a", a, b, func(Message) {})
-	stopB := start("b", b, a, func(m Message) {
-		select {
-		case received <- m:
-		default:
-		}
-	})
+	stopA, stopB := start(a, b), start(b, a)
 	m := <-received
 	g.Expect(m.ID).To(Equal("a"))
 	g.Expect(m.Config).To(BeEquivalentTo(42))
@@ -301,24 +299,23 @@
 	stopB()
 }
 
-func freePort(t *testing.T) netip.AddrPort {
+// openNode returns a node on loopback whose socket is open.
+func openNode(t *testing.T, id string, fill func(m *Message), onMessage func(m Message)) *Node {
 	t.Helper()
-	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
+	n := NewNode(Options{ID: id, Boot: 1, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Fill: fill, OnMessage: onMessage, Log: discard, Now: time.Now})
+	if err := n.Open(); err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+	return n
 }
 
 // One of two nodes on loopback UDP leaves.
 func TestLeave_RemovesInstanceFromPeers(t *testing.T) {
 	g := NewWithT(t)
-	a, b := freePort(t), freePort(t)
-	remaining := NewNode(Options{ID: "b", Boot: 1, Listen: b, Fill: func(*Message) {}, OnMessage: func(Message) {}, Log: discard, Now: time.Now})
-	leaving := NewNode(Options{ID: "a", Boot: 1, Listen: a, Fill: func(*Message) {}, OnMessage: func(Message) {}, Log: discard, Now: time.Now})
-	leaving.SetMembers(registered(map[string]netip.AddrPort{"b": b}))
-	remaining.SetMembers(registered(map[string]netip.AddrPort{"a": a}))
+	remaining := openNode(t, "b", func(*Message) {}, func(Message) {})
+	leaving := openNode(t, "a", func(*Message) {}, func(Message) {})
+	leaving.SetMembers(registered(map[string]netip.AddrPort{"b": remaining.Listen}))
+	remaining.SetMembers(registered(map[string]netip.AddrPort{"a": leaving.Listen}))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
 	for _, n := range []*Node{remaining, leaving} {
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -38,7 +38,8 @@
 type Options struct {
 	ID   string
 	Boot uint64
-	// Listen is the UDP address of this instance.
+	// Listen is the UDP address of this instance. If its port is 0, Open sets it to the
+	// one that was chosen.
 	Listen netip.AddrPort
 	// Fill adds this instance's state to a message.
 	Fill func(m *Message)
@@ -78,6 +79,8 @@
 	// leaveRequests carries the requests of Leave; isLeaving is true from then on.
 	leaveRequests chan chan struct{}
 	isLeaving     bool
+	// conn is the socket; nil until Open.
+	conn *net.UDPConn
 }
 
 // Member is a registered instance: its UDP address and its boot number, the time of its
@@ -107,12 +110,21 @@
 	}
 }
 
-// Run sends and receives messages until the context ends.
-func (n *Node) Run(ctx context.Context) error {
+// Open opens the socket. It must be called once, before Run.
+func (n *Node) Open() error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(n.Listen))
 	if err != nil {
 		return err
 	}
+	n.conn = conn
+	n.Listen = netip.AddrPortFrom(n.Listen.Addr(), conn.LocalAddr().(*net.UDPAddr).AddrPort().Port())
+	return nil
+}
+
+// Run sends and receives messages until the context ends, and closes the socket.
+func (n *Node) Run(ctx context.Context) error {
+	conn := n.conn
+	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	go n.sendLoop(ctx, conn)
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -27,11 +28,20 @@
 	return &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-// Run serves until ctx is done, with TLS if s.TLSConfig is set. Then it shuts the
-// server down and waits up to grace for open requests before closing them.
+// Run listens on the server's address and calls Serve.
 func Run(ctx context.Context, s *http.Server, grace time.Duration) error {
+	l, err := net.Listen("tcp", s.Addr)
+	if err != nil {
+		return err
+	}
+	return Serve(ctx, s, l, grace)
+}
+
+// Serve serves until ctx is done, with TLS if s.TLSConfig is set. Then it shuts the
+// server down and waits up to grace for open requests before closing them.
+func Serve(ctx context.Context, s *http.Server, l net.Listener, grace time.Duration) error {
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- listenAndServe(s) }()
+	go func() { serveErr <- serve(s, l) }()
 	select {
 	case err := <-serveErr:
 		if !errors.Is(err, http.ErrServerClosed) {
@@ -50,11 +60,11 @@
 	return err
 }
 
-func listenAndServe(s *http.Server) error {
+func serve(s *http.Server, l net.Listener) error {
 	if s.TLSConfig != nil {
-		return s.ListenAndServeTLS("", "")
+		return s.ServeTLS(l, "", "")
 	}
-	return s.ListenAndServe()
+	return s.Serve(l)
 }
 
 // Operations returns the handler for /metrics, /healthz and /readyz.
