Capacity state: each format has a name, and a state of the other one is refused

Cause: the controller's and the planner's states are stored under the same key, capacity/state. Either program took the other's for an empty one of its own, without an error, and replaced it.

Entries log a stored state that they can't read and so follow no drains of.

--- a/cmd/medlarsill-entry/process.go
+++ b/cmd/medlarsill-entry/process.go
@@ -200,7 +200,7 @@
 		func(ctx context.Context) error { return fleet.FollowList(ctx, p.cloudClient, p.table) },
 		func(ctx context.Context) error { return fleet.FollowNotices(ctx, p.cloudClient, p.table) },
 		func(ctx context.Context) error {
-			return controller.FollowDrains(ctx, p.store, time.Now, p.table.MarkLeaving)
+			return controller.FollowDrains(ctx, p.store, time.Now, p.table.MarkLeaving, p.log)
 		},
 		func(ctx context.Context) error { return p.scheduling.poller.Run(ctx, p.table) },
 		func(ctx context.Context) error { return p.scheduling.runLimits(ctx, p.follower, p.table) },
--- a/pkg/controller/handover_test.go
+++ b/pkg/controller/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -251,7 +252,7 @@
 			_ = controller.FollowDrains(ctx, store, time.Now, func(id string, stopAt time.Time) bool {
 				marked[id] = stopAt
 				return true
-			})
+			}, slog.New(slog.DiscardHandler))
 		}()
 		n.lease.set(1, true)
 		g.Expect(n.Step(t.Context())).To(gomega.Succeed())
--- a/pkg/scaling/state.go
+++ b/pkg/scaling/state.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/speed"
@@ -13,14 +15,23 @@
 const (
 	// stateKey is the key of the object that holds the planner's state.
 	stateKey = "capacity/state"
+	// stateFormat names the format of the planner's state. Package controller has another
+	// format under the same key, for another deployment.
+	stateFormat = "scaling/planner"
 	// saveInterval is the time between two writes of the state if no order was sent.
 	saveInterval = 2 * time.Second
 	// demandMaxAge is the age at which a stored demand is no longer used.
 	demandMaxAge = 20 * time.Second
 )
 
+// ErrStateFormat means that the stored state has another format than the planner's. It is
+// neither used nor replaced.
+var ErrStateFormat = eris.New("scaling: the stored capacity state isn't a planner's")
+
 // stateRecord is the stored state, which each holder of the duty passes to the next.
 type stateRecord struct {
+	// Format is stateFormat, or "" in states that older builds stored.
+	Format string `json:"format"`
 	// SavedMS is when the state was saved, in Unix milliseconds on the holder's clock.
 	SavedMS  int64                    `json:"saved_ms"`
 	Services map[string]serviceRecord `json:"services"`
@@ -47,20 +58,36 @@
 // StoredSpeeds returns the endpoint speeds of the last stored state, or nil if no
 // state was stored.
 func StoredSpeeds(ctx context.Context, store objectstore.Store) (map[string]speed.Summary, error) {
-	var r stateRecord
-	stored := lease.State{Store: store, Key: stateKey}
-	if _, err := stored.Load(ctx, &r); err != nil {
-		return nil, err
+	r, _, err := load(ctx, &lease.State{Store: store, Key: stateKey})
+	return r.Speeds, err
+}
+
+// load reads a state. It returns false if none was stored yet.
+func load(ctx context.Context, stored *lease.State) (r stateRecord, found bool, err error) {
+	found, err = stored.Load(ctx, &r)
+	if err == nil && found {
+		err = r.checkFormat()
+	}
+	if err != nil {
+		return stateRecord{}, false, err
+	}
+	return r, found, nil
+}
+
+// checkFormat returns an error if the record has another format. Older builds stored no
+// name of it, but always a time.
+func (r *stateRecord) checkFormat() error {
+	if r.Format == stateFormat || r.Format == "" && r.SavedMS != 0 {
+		return nil
 	}
-	return r.Speeds, nil
+	return eris.Wrapf(ErrStateFormat, "format %q", r.Format)
 }
 
 // loadState reads the state stored by the last holder. An unreadable state is ignored.
 func (p *Planner) loadState(ctx context.Context, now time.Time) error {
 	p.services = make(map[string]*service)
 	p.stored = lease.State{Store: p.Store, Key: stateKey}
-	var r stateRecord
-	found, err := p.stored.Load(ctx, &r)
+	r, found, err := load(ctx, &p.stored)
 	if errors.Is(err, lease.ErrStateUnreadable) {
 		p.Log.Error("failed to decode capacity state; starting without it", "error", err.Error())
 		return nil
@@ -108,7 +135,7 @@
 	if !p.changed && now.Sub(p.savedAt) < saveInterval {
 		return nil
 	}
-	r := stateRecord{SavedMS: now.UnixMilli(), Services: make(map[string]serviceRecord, len(p.services)), Speeds: p.Speeds.PooledSummaries()}
+	r := stateRecord{Format: stateFormat, SavedMS: now.UnixMilli(), Services: make(map[string]serviceRecord, len(p.services)), Speeds: p.Speeds.PooledSummaries()}
 	for name, s := range p.services {
 		r.Services[name] = s.record()
 	}
