standin: a model whose load was refused isn't loaded

Change: only what was loaded is entered; a request whose load was refused ends without a token, and the next one tries again.

--- a/pkg/standin/modelserver/orders.go
+++ b/pkg/standin/modelserver/orders.go
@@ -72,7 +72,7 @@
 }
 
 // ensureModel waits until a model is loaded; concurrent calls share one load.
-// It reports false if ctx ended first.
+// It reports false if the load was refused or ctx ended first.
 func (s *Server) ensureModel(ctx context.Context, name string) bool {
 	s.mu.Lock()
 	if s.cfg.Weights == nil || len(s.cfg.Models) == 0 || s.models[name] {
@@ -88,7 +88,7 @@
 	s.mu.Unlock()
 	select {
 	case <-done:
-		return true
+		return s.hasModel(name)
 	case <-ctx.Done():
 		return false
 	}
@@ -98,7 +98,15 @@
 	loaded := s.cfg.Weights.Fetch(context.Background())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.models[name] = loaded
+	if loaded {
+		s.models[name] = true
+	}
 	delete(s.loading, name)
 	close(done)
 }
+
+func (s *Server) hasModel(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.models[name]
+}
