settings: the reference test covers every program

Change: the test takes the programs from the reference files, and fails for one without a type. The defaults are the same.

--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -88,12 +88,23 @@
 }
 
 // TestReference_DocumentsEveryField checks that the output of --print-defaults
-// contains each field with a comment before it.
+// contains each field with a comment before it. Guards against a program that is left out.
 func TestReference_DocumentsEveryField(t *testing.T) {
-	for p, typ := range map[Program]reflect.Type{
-		ProgramEntry: reflect.TypeFor[Entry](), ProgramController: reflect.TypeFor[Controller](), ProgramAdmin: reflect.TypeFor[Admin](),
-	} {
-		requireDocumented(t, p, typ, Reference(p))
+	types := map[Program]reflect.Type{
+		ProgramEntry: reflect.TypeFor[Entry](), ProgramController: reflect.TypeFor[Controller](), ProgramAdmin: reflect.TypeFor[Admin](), ProgramGateway: reflect.TypeFor[Gateway](),
+	}
+	files, err := reference.ReadDir("reference")
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(files).To(HaveLen(len(types)))
+	for _, f := range files {
+		p := Program(strings.TrimSuffix(f.Name(), ".json"))
+		typ, ok := types[p]
+		if !ok {
+			t.Errorf("%s: no type of its settings in this test", p)
+			continue
+		}
+		t.Run(string(p), func(t *testing.T) { requireDocumented(t, p, typ, Reference(p)) })
 	}
 }
 
