lease: remove TakeoverDelay, which nothing calls

The two assertions on TakeoverDelay in TestLease_PassesToNextCandidate go with it; the rest of the test stays as it was.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -104,15 +104,6 @@
 	return l.machine.HighestFence()
 }
 
-// TakeoverDelay returns how much longer a new holder must wait before it uses endpoints
-// that ignore the fencing token. The previous holder's orders take at most maxOrderTime
-// and may still be in progress.
-func (l *Lease) TakeoverDelay(maxOrderTime time.Duration) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.machine.TakeoverDelay(l.Now(), maxOrderTime)
-}
-
 // Run acquires and renews the lease until the context ends. It doesn't release the lease;
 // see Release.
 func (l *Lease) Run(ctx context.Context) error {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -54,7 +54,6 @@
 		fence, ok = b.Held()
 		g.Expect(ok).To(BeTrue())
 		g.Expect(fence).To(BeEquivalentTo(2))
-		g.Expect(b.TakeoverDelay(time.Minute)).To(BeNumerically(">", 40*time.Second))
 		g.Expect(b.Do(t.Context(), DefaultDuration, nil)).To(MatchError(ErrNotHeld))
 
 		stopB()
@@ -69,7 +68,6 @@
 		fence, ok = c.Held()
 		g.Expect(ok).To(BeTrue())
 		g.Expect(fence).To(BeEquivalentTo(3))
-		g.Expect(c.TakeoverDelay(time.Minute)).To(BeZero())
 		stopC()
 		running.Wait()
 	})
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -113,10 +113,8 @@
 	fence uint64
 	// renewedAt is when the last write that is known to have taken effect was started.
 	renewedAt time.Time
-	// acquiredAt is when the lease was acquired. cleanTakeover is true if no earlier
-	// holder's work can still be in progress: it released the lease, or there was none.
-	acquiredAt    time.Time
-	cleanTakeover bool
+	// acquiredAt is when the lease was acquired.
+	acquiredAt time.Time
 	// highestFence is the largest fencing token known from records or peers.
 	highestFence uint64
 	// pending holds the start time of each write whose outcome is unknown, by write id.
@@ -282,7 +280,7 @@
 	case ownWrite && before.Version == 0 && m.fenceMayBeReused():
 		m.fence = 0 // a holder whose record was lost may have used this token
 	case ownWrite && !m.seen.Released:
-		m.recordHold(now, writeBegan, before)
+		m.recordHold(now, writeBegan)
 	case m.seen.Holder != m.Self || m.seen.Fence != m.fence || m.seen.Released:
 		m.fence = 0
 	}
@@ -290,10 +288,9 @@
 }
 
 // recordHold records that a write of this process acquired or renewed the lease.
-func (m *Machine) recordHold(now, began time.Time, before Stored) {
+func (m *Machine) recordHold(now, began time.Time) {
 	if m.fence != m.seen.Fence {
 		m.acquiredAt = now
-		m.cleanTakeover = before.Version == 0 || before.Released
 		m.fence = m.seen.Fence
 	}
 	m.renewedAt = began
@@ -315,13 +312,3 @@
 	}
 	return m.Duration + m.jitter()
 }
-
-// TakeoverDelay returns how much longer a new holder must wait before it uses endpoints
-// that ignore the fencing token: the previous holder's orders take at most maxOrderTime
-// and may still be in progress. It is 0 if that holder released the lease.
-func (m *Machine) TakeoverDelay(now time.Time, maxOrderTime time.Duration) time.Duration {
-	if m.cleanTakeover {
-		return 0
-	}
-	return max(0, maxOrderTime-now.Sub(m.acquiredAt))
-}
