A silent endpoint is not taken for crashed

Callers saw 503 "the request crashes endpoints" for a sound request while endpoints, or the links to them, were silent for 0.7 s or more several times.

Cause: a connection that broke counted as the endpoint's end if no new one could be opened within 150 ms, whatever the reason. After a silence of 0.7 s the kernel breaks the connections (TCP_USER_TIMEOUT), and the check ran into the same silence.

Change: only a refused connection shows that a process has ended (Pool.Refuses); a timeout, an unreachable host or a reset doesn't.

--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -83,17 +84,20 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
-	open := p.Dial
-	if open == nil {
-		open = p.dialTCP
-	}
-	c, err := open(ctx, addr)
+	c, err := p.open(ctx, addr)
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
 	return newConn(c), nil
 }
 
+func (p *Pool) open(ctx context.Context, addr string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, addr)
+	}
+	return p.dialTCP(ctx, addr)
+}
+
 func (p *Pool) dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: p.DialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2,
@@ -114,13 +118,14 @@
 	return optErr
 }
 
-// Refuses reports whether no connection can be opened to an address.
+// Refuses reports whether connections to an address are refused, since no process accepts them.
+// An address that doesn't answer in time refuses none.
 func (p *Pool) Refuses(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), p.DialTimeout)
 	defer cancel()
-	c, err := p.dial(ctx, addr)
+	c, err := p.open(ctx, addr)
 	if err != nil {
-		return true
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	c.Close()
 	return false
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -126,6 +127,18 @@
 	g.Expect(s.requests.Load()).To(BeEquivalentTo(2))
 }
 
+// Guards against an endpoint that is taken for ended while it is silent or cut off.
+func TestPool_RefusesOnlyIfConnectionIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(time.Now)
+	for err, want := range map[error]bool{
+		syscall.ECONNREFUSED: true, syscall.ETIMEDOUT: false, syscall.EHOSTUNREACH: false, syscall.ECONNRESET: false, context.DeadlineExceeded: false,
+	} {
+		p.Dial = func(context.Context, string) (net.Conn, error) { return nil, &net.OpError{Op: "dial", Err: err} }
+		g.Expect(p.Refuses("addr")).To(Equal(want), err.Error())
+	}
+}
+
 func TestPool_DialFailureIsErrNotSent(t *testing.T) {
 	g := NewWithT(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
