Requests of an instance that reaches no endpoint are carried out by a peer that does

Cause: an instance is taken to be either up or down. One that callers, the store and its peers reach, but that has lost one kind of link, knew within milliseconds that it reaches no endpoint, and had nobody to ask. Instances tell each other their port for forwarded requests and the services that are cut off. A request to such a service goes, with all that the caller sent, to a random ready peer that says of none that it is cut off, which handles it as one of its own: configuration (never an older one), key, allowance, usage, poison, origin, retries and limits are checked and counted there, once. A peer that doesn't take it says so (not run), and another is asked; three at most, and nobody forwards twice. An unknown outcome stays one: what may run once is never sent again, and what may be repeated or resumed goes to another peer within the runs and the budget that are left.

--- a/cmd/medlarsill-gateway/listen.go
+++ b/cmd/medlarsill-gateway/listen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 
 	"github.com/medlarsill/medlarsill/pkg/actors"
 )
@@ -10,6 +11,8 @@
 // listeners are the open listeners of a process's HTTP servers.
 type listeners struct {
 	callers, ready, metrics net.Listener
+	// forwarded accepts the connections of peers that forward requests.
+	forwarded net.Listener
 }
 
 // listen opens all sockets of this process. It must be called once, before run. On an
@@ -23,6 +26,7 @@
 	}{
 		{"callers", &p.listeners.callers, func() (net.Listener, error) { return p.ingress.Listen(ctx) }},
 		{"readiness", &p.listeners.ready, func() (net.Listener, error) { return net.Listen("tcp", p.cfg.ReadyListen) }},
+		{"forwarded requests", &p.listeners.forwarded, func() (net.Listener, error) { return net.Listen("tcp", p.forwardListen()) }},
 		{"metrics", &p.listeners.metrics, func() (net.Listener, error) { return net.Listen("tcp", p.cfg.MetricsListen) }},
 	} {
 		l, err := s.open()
@@ -41,6 +45,11 @@
 	return nil
 }
 
+// forwardListen returns the address on which peers forward requests: the port of the datagrams.
+func (p *process) forwardListen() string {
+	return net.JoinHostPort(p.cfg.IP, strconv.Itoa(p.cfg.PeerPort))
+}
+
 func closeAll(list []net.Listener) {
 	for _, l := range list {
 		l.Close()
--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -170,6 +171,8 @@
 func (p *process) fillMessage(m *gossip.Message) {
 	m.WallMS = time.Now().UnixMilli()
 	m.Ready = p.ready()
+	m.ForwardPort = p.forwardPort()
+	m.CutOff = p.reach.Services()
 	if t := p.config.Current(); t != nil {
 		m.Config = t.Version
 	}
@@ -192,6 +195,15 @@
 	m.Builds = p.archive.Announcement(m.Seq)
 }
 
+// forwardPort returns the port on which this instance takes requests of its peers' callers.
+func (p *process) forwardPort() uint16 {
+	at, ok := p.listeners.forwarded.Addr().(*net.TCPAddr)
+	if !ok {
+		return 0
+	}
+	return uint16(at.Port)
+}
+
 // usageWindows returns the number of usage windows in this instance's n-th message.
 func usageWindows(n uint64) int {
 	if n%allUsageInterval == 1 {
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -27,6 +27,7 @@
 	"github.com/medlarsill/medlarsill/pkg/origin"
 	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
+	"github.com/medlarsill/medlarsill/pkg/reach"
 	"github.com/medlarsill/medlarsill/pkg/retry"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
@@ -53,6 +54,9 @@
 	poolSweepInterval = 2 * time.Second
 	// speedLogInterval is the interval at which endpoint speeds are logged.
 	speedLogInterval = 5 * time.Second
+	// maxForwardedHeader limits the header of a request that a peer forwards: that of a caller's
+	// and what instances add to it.
+	maxForwardedHeader = 72 << 10
 	// allowanceShare is the share of the permitted excess over a limit that is used.
 	allowanceShare = 0.5
 	// creditShare is the share of the permitted slack that new accounts start with. It
@@ -80,6 +84,9 @@
 	origins          *origin.Registry
 	archive          *origin.Archive
 	pool             *upstream.Pool
+	peerPool         *upstream.Pool
+	reach            *reach.Tracker
+	forwarded        *http.Server
 	gateway          *gateway.Gateway
 	ingress          *ingress.Server
 	node             *gossip.Node
@@ -100,7 +107,7 @@
 
 func newProcess(cfg settings.Gateway, file string, log *slog.Logger) *process {
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
-	p := &process{startedAt: time.Now(), cfg: cfg, file: file, log: log, metrics: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now), stopRequested: make(chan struct{})}
+	p := &process{startedAt: time.Now(), cfg: cfg, file: file, log: log, metrics: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now), peerPool: upstream.NewPool(time.Now), stopRequested: make(chan struct{})}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: storeConns, IdleConnTimeout: storeIdleTimeout,
@@ -118,13 +125,16 @@
 	p.rateLimits = ratelimit.New(ratelimit.Options{Members: p.membership, Metrics: ratelimit.NewMetrics(p.metrics), Log: log, Now: time.Now})
 	p.backoffs = backoff.New(backoff.Options{Metrics: p.metrics, Log: log, Now: time.Now})
 	p.scheduler.Limits = schedule.AllOf{p.backoffs, p.rateLimits}
+	p.reach = reach.New(reach.Options{Endpoints: p.table, Connects: p.pool.Connects, Log: log})
 	p.poison = p.newPoisonGuard()
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.allowances,
 		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs, Poison: p.poison, Origins: p.origins,
-		Pool: p.pool, Metrics: gateway.NewMetrics(p.metrics), Log: log, KnownState: p.knownState, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
+		Pool: p.pool, Reach: p.reach, Peers: p.node, PeerPool: p.peerPool, Metrics: gateway.NewMetrics(p.metrics), Log: log, KnownState: p.knownState, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
 	})
 	p.setUpDuties(client)
+	p.forwarded = httpserver.New("", p.gateway.ForwardedHandler())
+	p.forwarded.MaxHeaderBytes = maxForwardedHeader
 	p.ingress = ingress.New(cfg.Listen, p.gateway, p.limits, time.Now)
 	p.registerStateMetrics()
 	return p
@@ -204,6 +214,8 @@
 		{"stream archive", p.archive.Run},
 		{"registration", p.registry.Run},
 		{"callers", p.serve},
+		{"forwarded requests", func(ctx context.Context) error { return httpserver.Serve(ctx, p.forwarded, p.listeners.forwarded, 0) }},
+		{"endpoint reachability", p.reach.Run},
 		{"readiness", func(ctx context.Context) error { return httpserver.Serve(ctx, ready, p.listeners.ready, 0) }},
 		{"metrics", func(ctx context.Context) error { return httpserver.Serve(ctx, metrics, p.listeners.metrics, 0) }},
 	}
@@ -240,6 +252,7 @@
 func (p *process) sweepPool(ctx context.Context) error {
 	for sleep.For(ctx, poolSweepInterval) {
 		p.pool.CloseExpired()
+		p.peerPool.CloseExpired()
 	}
 	return nil
 }
--- a/cmd/medlarsill-gateway/stop.go
+++ b/cmd/medlarsill-gateway/stop.go
@@ -77,6 +77,9 @@
 	if err := p.ingress.Drain(ctx); err != nil {
 		p.log.Warn("grace period ended with requests in progress", "active", p.gateway.Active(), "error", err.Error())
 	}
+	if err := p.forwarded.Shutdown(ctx); err != nil {
+		p.log.Warn("grace period ended with forwarded requests in progress", "active", p.gateway.Active(), "error", err.Error())
+	}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"net/url"
-	"strings"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/routing"
@@ -50,8 +47,9 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			p.Endpoint.RecordUnreachable(g.Now())
+			g.Reach.Missed(p.Endpoint.Service, p.Endpoint.ID)
 		}
-		return outcome{state: stateUnsent, reason: "not reached", err: err}
+		return outcome{state: stateUnsent, reason: "not reached", unreached: true, err: err}
 	}
 	a := &attempt{call: c, placement: p, conn: conn}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
@@ -79,7 +77,7 @@
 		a.reusable = true // nothing was sent, so the connection can be reused
 		return outcome{state: stateUnsent, reason: "deadline passed"}
 	}
-	if a.attempts == 0 {
+	if a.firstSend() {
 		g.Retries.RecordFirstSend(a.service)
 	}
 	a.recordSend()
@@ -93,6 +91,7 @@
 	if err != nil {
 		return a.handleNoResponse(ctx, err)
 	}
+	g.Reach.Reached(a.service)
 	meta := g.Protocol.Response(resp)
 	a.recordNotices(meta)
 	if meta.NotRun {
@@ -114,6 +113,7 @@
 	}
 	g, e := a.gateway, a.placement.Endpoint
 	e.RecordUnreachable(g.Now())
+	g.Reach.Missed(e.Service, e.ID)
 	g.Pool.CloseIdle(e.Addr)
 	g.Log.Info("endpoint silent", "endpoint", e.ID, "request", a.meta.ID)
 }
@@ -121,8 +121,8 @@
 // recordSend records that the request is sent to the endpoint.
 func (a *attempt) recordSend() {
 	k := a.placement.Endpoint.Key()
-	a.gateway.RateLimits.Sent(k, a.attempts > 0)
-	a.gateway.Backoffs.Sent(k, a.attempts > 0)
+	a.gateway.RateLimits.Sent(k, !a.firstSend())
+	a.gateway.Backoffs.Sent(k, !a.firstSend())
 }
 
 // recordNotices records what a response says of its endpoint's state.
@@ -153,7 +153,7 @@
 // setResponseDeadline limits the wait for the response if the request may be
 // sent to another endpoint. Otherwise only the call's context limits it.
 func (a *attempt) setResponseDeadline(left time.Duration) {
-	if !a.route.Repeatable() || a.possibleRuns >= a.route.MaxAttempts {
+	if !a.route.Repeatable() || a.possibleRuns >= a.maxRuns {
 		a.waitWithoutLimit()
 		return
 	}
@@ -168,24 +168,9 @@
 
 // request returns the request for the endpoint, with path, query and body unchanged.
 func (a *attempt) request(left time.Duration) *http.Request {
-	path, query, hasQuery := strings.Cut(a.r.RequestURI, "?")
-	req := &http.Request{
-		Method: a.r.Method, Host: a.r.Host, ProtoMajor: 1, ProtoMinor: 1,
-		URL: &url.URL{Scheme: "http", Host: a.r.Host, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""},
-		Header: a.gateway.Protocol.RequestHeader(a.r.Header, Forwarding{
-			EndpointID: a.placement.Endpoint.ID, Workspace: a.workspaceName(), TimeLeft: left, EndpointPriority: a.endpointPriority, LastEvent: a.lastEvent,
-		}),
-	}
-	if _, ok := req.Header["User-Agent"]; !ok {
-		req.Header["User-Agent"] = []string{""} // net/http would add its own otherwise
-	}
-	if len(a.body) > 0 || a.r.ContentLength != 0 {
-		req.Body = io.NopCloser(bytes.NewReader(a.body))
-		req.ContentLength = int64(len(a.body))
-	} else if a.r.Method == http.MethodPost || a.r.Method == http.MethodPut || a.r.Method == http.MethodPatch {
-		req.Body = http.NoBody
-	}
-	return req
+	return a.requestTo(a.gateway.Protocol.RequestHeader(a.r.Header, Forwarding{
+		EndpointID: a.placement.Endpoint.ID, Workspace: a.workspaceName(), TimeLeft: left, EndpointPriority: a.endpointPriority, LastEvent: a.lastEvent,
+	}))
 }
 
 // handleNoResponse handles a failure before the response began.
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -39,6 +39,13 @@
 	traits poison.Request
 	probe  bool
 
+	// maxRuns is the number of endpoints on which the request may run.
+	maxRuns int
+	// charged is true once the call was charged to its workspace's allowance.
+	charged bool
+	// forwarded is true if a peer has forwarded the request, and repeated if it may have run before.
+	forwarded, repeated bool
+
 	// attempts is the number of times that the request was sent, possibleRuns the
 	// number of those in which it may have run.
 	attempts     int
@@ -113,6 +120,9 @@
 	return c.gateway.Now().Sub(c.lastSent)
 }
 
+// firstSend reports whether the request was never sent to an endpoint, as far as is known.
+func (c *call) firstSend() bool { return c.attempts == 0 && !c.repeated }
+
 // exclude keeps further attempts of the call from using an endpoint.
 func (c *call) exclude(id string) {
 	if c.excluded == nil {
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -38,7 +38,11 @@
 		return &refusal{status: http.StatusBadRequest, reason: "no request id"}
 	}
 	c.route = route
-	elapsed := g.retryDetector.elapsed(route.Name, c.meta.Deadline)
+	c.maxRuns = max(route.MaxAttempts, 1)
+	elapsed := time.Duration(0)
+	if !c.forwarded {
+		elapsed = g.retryDetector.elapsed(route.Name, c.meta.Deadline)
+	}
 	g.Metrics.Arrived.WithLabelValues(strconv.FormatBool(elapsed > 0)).Inc()
 	c.firstSent = c.arrived.Add(-elapsed)
 	c.priority = route.Priority
@@ -133,12 +137,13 @@
 	return io.ReadAll(body)
 }
 
-// chargeAllowance charges the request to its workspace's allowance.
+// chargeAllowance charges the request to its workspace's allowance, unless a peer has done so.
 func (g *Gateway) chargeAllowance(c *call) *refusal {
-	if c.workspace == nil {
+	if c.workspace == nil || c.repeated || c.possibleRuns > 0 {
 		return nil
 	}
 	wait, ok := g.Allowance.Take(c.workspace, c.cost(), c.late())
+	c.charged = ok
 	if ok {
 		return nil
 	}
--- /dev/null
+++ b/pkg/gateway/forward.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/upstream"
+)
+
+// maxForwards is the number of peers that are asked to take a request over.
+const maxForwards = 3
+
+// peerIdleConns is the number of idle connections to keep to a peer.
+const peerIdleConns = 16
+
+// Reach knows which services this instance doesn't reach.
+type Reach interface {
+	// Reached records that an endpoint of a service has answered, Missed that one could not be
+	// reached.
+	Reached(service string)
+	Missed(service, id string)
+	// CutOff reports whether this instance reaches none of the endpoints of a service.
+	CutOff(service string) bool
+}
+
+// Peers knows the other instances.
+type Peers interface {
+	// Reaching returns the addresses of the reachable ready peers that say of no service of this
+	// name that it is cut off.
+	Reaching(service string) []string
+}
+
+// Results of forwarding a request, as the metric shows them.
+const (
+	forwardAnswered    = "answered"
+	forwardNotTaken    = "not taken"
+	forwardUnreachable = "unreachable"
+	forwardUnknown     = "unknown"
+)
+
+// forward has a peer process the call, as this instance reaches no endpoint of the service. It
+// returns false if no peer has taken it over; the call may go on then. Otherwise the call is
+// finished.
+func (c *call) forward(ctx context.Context) bool {
+	if !c.mayForward() {
+		return false
+	}
+	peers := c.gateway.Peers.Reaching(c.service)
+	for range maxForwards {
+		if len(peers) == 0 {
+			return false
+		}
+		i := min(int(c.gateway.Random()*float64(len(peers))), len(peers)-1)
+		last := c.forwardTo(ctx, peers[i])
+		peers = slices.Delete(peers, i, i+1)
+		if last.done {
+			return true
+		}
+		if last.state == stateUnknown && (ctx.Err() != nil || !c.mayRetry(last)) {
+			c.finish(ctx, last)
+			return true
+		}
+	}
+	return false
+}
+
+// mayForward reports whether a peer may take the call over: it is a caller's own, there is time,
+// and one more run is permitted.
+func (c *call) mayForward() bool {
+	if c.forwarded || c.deadline.Sub(c.gateway.Now()) < minTimeLeft {
+		return false
+	}
+	return c.possibleRuns == 0 || c.route.Repeatable() && c.possibleRuns < c.maxRuns
+}
+
+// forwardTo sends the request to a peer and relays its response.
+func (c *call) forwardTo(ctx context.Context, addr string) outcome {
+	g := c.gateway
+	conn, err := g.PeerPool.Get(ctx, addr)
+	if err != nil {
+		g.Metrics.Forwarded.WithLabelValues(forwardUnreachable).Inc()
+		return outcome{state: stateUnsent, reason: "peer not reached", err: err}
+	}
+	f := &forwardAttempt{call: c, conn: conn, addr: addr}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer func() {
+		stopped := stop()
+		g.PeerPool.Put(addr, conn, f.complete && stopped, peerIdleConns)
+	}()
+	last, result := f.exchange()
+	g.Metrics.Forwarded.WithLabelValues(result).Inc()
+	if !last.done {
+		g.Log.Info("request not forwarded", "request", c.meta.ID, "peer", addr, "state", last.state.String(), "reason", last.reason, "error", last.errorText(), "last_event", c.lastEvent)
+	}
+	return last
+}
+
+// forwardAttempt is the state of one attempt to have a peer process a call.
+type forwardAttempt struct {
+	*call
+	conn *upstream.Conn
+	addr string
+	// complete is true once the response was read to its end.
+	complete bool
+}
+
+// exchange sends the request and relays the response. It also returns the result for the metric.
+func (f *forwardAttempt) exchange() (outcome, string) {
+	g := f.gateway
+	runs := f.grantRuns()
+	req := f.request(forwarding{
+		configVersion: f.table.Version, timeLeft: f.deadline.Sub(g.Now()), elapsed: g.Now().Sub(f.firstSent),
+		maxRuns: runs, repeated: f.possibleRuns > 0, counted: f.running || f.headerSent,
+	})
+	f.possibleRuns += runs
+	f.lastSent = g.Now()
+	f.setResponseDeadline()
+	resp, err := f.conn.Do(req, func(*http.Response) bool { return true })
+	if err != nil {
+		return outcome{state: stateUnknown, reason: "peer failed", err: err}, forwardUnknown
+	}
+	if reason := resp.Header.Get(headerNotTaken); reason != "" {
+		f.possibleRuns -= runs
+		_, err := io.Copy(io.Discard, resp.Body)
+		f.complete = err == nil
+		return outcome{state: stateUnsent, reason: "not taken by peer: " + reason}, forwardNotTaken
+	}
+	last := f.relay(resp)
+	if !last.done {
+		return last, forwardUnknown
+	}
+	return last, forwardAnswered
+}
+
+// grantRuns returns the number of runs that are permitted to the peer. One is kept back, if there
+// are several, for the case that the peer fails.
+func (f *forwardAttempt) grantRuns() int { return max(1, f.maxRuns-f.possibleRuns-1) }
+
+// setResponseDeadline limits the wait for the response if another peer may process the request.
+func (f *forwardAttempt) setResponseDeadline() {
+	until := time.Time{}
+	if f.route.Repeatable() && f.possibleRuns < f.maxRuns {
+		until = f.gateway.Now().Add(max(minResponseTimeout, 2*responseTimeoutFactor*f.route.Target))
+	}
+	// An error shows in the next read.
+	_ = f.conn.SetReadDeadline(until)
+}
+
+// request returns the request for the peer: the caller's own, with what the peer has to know.
+func (f *forwardAttempt) request(told forwarding) *http.Request {
+	resumes := f.meta.Resumes
+	if f.headerSent && resumes == "" {
+		resumes = f.meta.ID
+	}
+	req := f.requestTo(f.gateway.Protocol.PeerHeader(f.r.Header, f.lastEvent, resumes))
+	told.set(req.Header)
+	return req
+}
+
+// relay forwards the peer's response to the caller.
+func (f *forwardAttempt) relay(resp *http.Response) outcome {
+	if f.isStream() && resp.StatusCode < http.StatusMultipleChoices {
+		return f.relayStream(resp)
+	}
+	if f.headerSent {
+		// The caller already has the beginning of a stream, so only further events may follow.
+		return outcome{state: stateUnknown, reason: "stream not resumed"}
+	}
+	_ = f.conn.SetReadDeadline(time.Time{})
+	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if err != nil {
+		return outcome{state: stateUnknown, reason: "answer broke off", err: err}
+	}
+	response := &bufferedResponse{status: resp.StatusCode, header: f.gateway.Protocol.ResponseHeader(resp.Header), body: head, endpoint: f.addr}
+	if len(head) > maxBufferedBytes {
+		response.rest = resp.Body
+	}
+	f.deliver(response)
+	f.complete = true
+	return outcome{state: stateAnswered, done: true}
+}
+
+// relayStream forwards complete events as they arrive.
+func (f *forwardAttempt) relayStream(resp *http.Response) outcome {
+	_ = f.conn.SetReadDeadline(time.Time{})
+	left, err := splitEvents(resp.Body, func(events []byte) bool { return f.writeEvents(resp, events) })
+	if err != nil || left > 0 || !f.headerSent {
+		return outcome{state: stateUnknown, reason: "stream broke off", err: err}
+	}
+	f.complete = true
+	f.recordResponse(resp.StatusCode, f.addr)
+	return outcome{state: stateAnswered, done: true}
+}
+
+// errEvents is the error of events that don't directly follow those before.
+var errEvents = errors.New("events don't continue the stream")
+
+// splitEvents calls write with complete events as they arrive, until the body ends. It returns the
+// number of bytes after the last complete event.
+func splitEvents(body io.Reader, write func(events []byte) bool) (left int, err error) {
+	buf := make([]byte, 0, readSize)
+	chunk := make([]byte, readSize)
+	for {
+		n, err := body.Read(chunk)
+		buf = append(buf, chunk[:n]...)
+		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
+			end += len(eventEnd)
+			if !write(buf[:end]) {
+				return 0, errEvents
+			}
+			buf = append(buf[:0], buf[end:]...)
+		}
+		if errors.Is(err, io.EOF) {
+			return len(bytes.TrimSpace(buf)), nil
+		}
+		if err == nil && len(buf) > maxEventBytes {
+			err = errEvents
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// writeEvents writes complete events to the caller and flushes them. It reports whether they
+// directly follow the last event that the caller has received.
+func (f *forwardAttempt) writeEvents(resp *http.Response, events []byte) bool {
+	first, last, _ := eventIDs(events)
+	if !follows(f.lastEvent, first) {
+		return false
+	}
+	f.startStream(resp)
+	if last != "" {
+		f.lastEvent = last
+	}
+	f.flush(events)
+	return true
+}
+
+// requestTo returns the caller's request with other headers; path, query and body are unchanged.
+func (c *call) requestTo(h http.Header) *http.Request {
+	path, query, hasQuery := strings.Cut(c.r.RequestURI, "?")
+	req := &http.Request{
+		Method: c.r.Method, Host: c.r.Host, ProtoMajor: 1, ProtoMinor: 1, Header: h,
+		URL: &url.URL{Scheme: "http", Host: c.r.Host, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""},
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // net/http would add its own otherwise
+	}
+	if len(c.body) > 0 || c.r.ContentLength != 0 {
+		req.Body = io.NopCloser(bytes.NewReader(c.body))
+		req.ContentLength = int64(len(c.body))
+	} else if c.r.Method == http.MethodPost || c.r.Method == http.MethodPut || c.r.Method == http.MethodPatch {
+		req.Body = http.NoBody
+	}
+	return req
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -113,8 +113,13 @@
 	// Origins knows at which builds streams began.
 	Origins Origins
 	Pool    *upstream.Pool
-	Metrics *Metrics
-	Log     *slog.Logger
+	// Reach knows which services this instance doesn't reach. Their requests are forwarded to
+	// Peers over PeerPool.
+	Reach    Reach
+	Peers    Peers
+	PeerPool *upstream.Pool
+	Metrics  *Metrics
+	Log      *slog.Logger
 	// KnownState returns the versions and ages of the state that this process works
 	// with, for the log lines of failed requests.
 	KnownState func() slog.Attr
@@ -149,22 +154,48 @@
 // returns a refusal.
 type filter func(c *call) *refusal
 
-// ServeHTTP implements http.Handler.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP implements http.Handler. It handles a caller's request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r, nil) }
+
+// serve handles a caller's request, or one that a peer forwards.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, f *forwarding) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{gateway: g, w: w, r: r, arrived: g.Now(), endpointPriority: defaultEndpointPriority}
-	for _, f := range []filter{g.findRoute, g.findWorkspace, g.readBody, g.checkPoison, g.findOrigin, g.chargeAllowance} {
-		if refused := f(c); refused != nil {
+	c := &call{gateway: g, w: w, r: r, arrived: g.Now(), endpointPriority: defaultEndpointPriority, forwarded: f != nil}
+	if !c.pass(g.findRoute, g.findWorkspace, g.readBody, g.checkPoison) {
+		return
+	}
+	c.applyForwarding(f)
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	if g.Reach.CutOff(c.service) {
+		if c.forwarded {
+			c.endProbe()
+			notTaken(w, notTakenCutOff)
+			return
+		}
+		if c.forward(ctx) {
 			c.endProbe()
-			c.refuse(refused)
 			return
 		}
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
-	defer cancel()
+	if !c.pass(g.findOrigin, g.chargeAllowance) {
+		return
+	}
 	c.run(ctx)
 }
+
+// pass applies filters. It returns false if one has refused the call.
+func (c *call) pass(filters ...filter) bool {
+	for _, f := range filters {
+		if refused := f(c); refused != nil {
+			c.endProbe()
+			c.refuse(refused)
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -9,6 +9,8 @@
 	Arrived *prometheus.CounterVec
 	// Refused counts the requests that the gateway refused or aborted, by reason.
 	Refused *prometheus.CounterVec
+	// Forwarded counts the requests that were forwarded to peers, by result.
+	Forwarded *prometheus.CounterVec
 	// Answered holds the time in seconds until an endpoint's response was relayed,
 	// by kind of route.
 	Answered *prometheus.HistogramVec
@@ -25,6 +27,9 @@
 		Refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "medlarsill_gateway_refused_total", Help: "Requests refused or aborted by the gateway, by reason.",
 		}, []string{"reason"}),
+		Forwarded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "medlarsill_gateway_forwarded_total", Help: "Requests forwarded to other instances, by result.",
+		}, []string{"result"}),
 		Answered: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "medlarsill_gateway_answer_seconds", Help: "Time until an endpoint's response was relayed, by kind of route.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
@@ -34,6 +39,6 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}),
 	}
-	reg.MustRegister(m.Arrived, m.Refused, m.Answered, m.FirstEvent)
+	reg.MustRegister(m.Arrived, m.Refused, m.Forwarded, m.Answered, m.FirstEvent)
 	return m
 }
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -65,7 +65,7 @@
 	if resp.ContentLength >= 0 && resp.ContentLength <= maxBufferedBytes {
 		return false
 	}
-	if !a.route.Repeatable() || a.possibleRuns >= a.route.MaxAttempts {
+	if !a.route.Repeatable() || a.possibleRuns >= a.maxRuns {
 		return false
 	}
 	_, large := a.gateway.largeResponses.Load(a.route.Name)
@@ -102,7 +102,7 @@
 // mayRetryFailure reports whether a request that an endpoint answered with an
 // error may be retried, and if so deducts the retry from the budget.
 func (a *attempt) mayRetryFailure() bool {
-	return a.route.Repeatable() && a.possibleRuns < a.route.MaxAttempts && a.gateway.Retries.Allow(a.service)
+	return a.route.Repeatable() && a.possibleRuns < a.maxRuns && a.gateway.Retries.Allow(a.service)
 }
 
 // handleTruncated handles a response that ended early, before any of it was
@@ -141,6 +141,7 @@
 	for name, values := range from {
 		to[name] = values
 	}
+	removeForwarding(to)
 	if _, ok := to["Content-Type"]; !ok {
 		to["Content-Type"] = nil
 	}
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -83,6 +83,10 @@
 	// RequestHeader returns the headers of the request to an endpoint, given those
 	// of the caller's request.
 	RequestHeader(in http.Header, f Forwarding) http.Header
+	// PeerHeader returns the headers of a request that is forwarded to a peer, given those of
+	// the caller's request. lastEvent and resumes replace Meta.LastEvent and Meta.Resumes if they
+	// aren't empty.
+	PeerHeader(in http.Header, lastEvent, resumes string) http.Header
 	// Response reads the head of an endpoint's response.
 	Response(resp *http.Response) ResponseMeta
 	// ResponseHeader returns the headers of the response to the caller, given those
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -50,6 +50,8 @@
 	state state
 	// done is true if the final response was delivered.
 	done bool
+	// unreached is true if no connection to the endpoint could be opened.
+	unreached bool
 	// reason says why the attempt failed, and err is the error behind it, if there is one.
 	reason string
 	err    error
@@ -88,6 +90,9 @@
 		g.Log.Info("attempt failed", "request", c.meta.ID, "endpoint", p.Endpoint.ID, "state", last.state.String(),
 			"reason", last.reason, "error", last.errorText(), "after_send_ms", c.sinceSent().Milliseconds(), "attempt", c.attempts, "left_ms", c.deadline.Sub(g.Now()).Milliseconds(),
 			"last_event", c.lastEvent, "resumes", c.meta.Resumes, "version", p.Endpoint.Info().Version, "running", p.Endpoint.TotalLoad().Running, "expected_ms", p.Expected.Milliseconds(), "parts", c.sharedParts(), "content", c.content().Hash(), g.KnownState())
+		if last.unreached && g.Reach.CutOff(c.service) && c.forwardAdmitted(ctx) {
+			return
+		}
 		if ctx.Err() != nil || c.successor == nil && !c.mayRetry(last) {
 			c.finish(ctx, last)
 			return
@@ -135,11 +140,33 @@
 	c.finish(ctx, last)
 }
 
+// forwardAdmitted is forward for a call that the allowance may have admitted. If it has not run
+// here, a peer that takes it over charges it.
+func (c *call) forwardAdmitted(ctx context.Context) (done bool) {
+	refund := c.possibleRuns == 0
+	done = true // if forwarding ends the call by a panic, too
+	defer func() {
+		if refund && (done || c.possibleRuns > 0) {
+			c.refund()
+		}
+	}()
+	done = c.forward(ctx)
+	return done
+}
+
+// refund returns what the call was charged.
+func (c *call) refund() {
+	if c.charged {
+		c.charged = false
+		c.gateway.Allowance.Refund(c.workspace, c.cost())
+	}
+}
+
 // finish responds to a call whose attempts have all failed. The status depends on
 // whether the request may have run.
 func (c *call) finish(ctx context.Context, last outcome) {
-	if c.possibleRuns == 0 && c.workspace != nil {
-		c.gateway.Allowance.Refund(c.workspace, c.cost())
+	if c.possibleRuns == 0 {
+		c.refund()
 	}
 	if c.r.Context().Err() != nil {
 		c.abortCallerLeft()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -24,7 +24,6 @@
 
 // relayStream forwards complete events as they arrive.
 func (a *attempt) relayStream(ctx context.Context, resp *http.Response) outcome {
-	rc := http.NewResponseController(a.w)
 	buf := make([]byte, 0, readSize)
 	chunk := make([]byte, readSize)
 	for {
@@ -33,7 +32,7 @@
 		buf = append(buf, chunk[:n]...)
 		if end := bytes.LastIndex(buf[searched:], eventEnd); end >= 0 {
 			events := buf[:searched+end+len(eventEnd)]
-			if !a.writeEvents(rc, resp, events) {
+			if !a.writeEvents(resp, events) {
 				return outcome{state: stateUnknown, reason: "events don't continue the stream"}
 			}
 			buf = append(buf[:0], buf[len(events):]...)
@@ -56,19 +55,12 @@
 // writeEvents writes complete events to the caller and flushes them. It reports whether they
 // directly follow the last event that the caller has received, and are of the build that began
 // the stream.
-func (a *attempt) writeEvents(rc *http.ResponseController, resp *http.Response, events []byte) bool {
+func (a *attempt) writeEvents(resp *http.Response, events []byte) bool {
 	first, last, count := eventIDs(events)
 	if !follows(a.lastEvent, first) || !a.recordBuild() {
 		return false
 	}
-	if !a.headerSent {
-		h := a.w.Header()
-		copyHeader(h, a.gateway.Protocol.ResponseHeader(resp.Header))
-		h.Del("Content-Length")
-		a.w.WriteHeader(resp.StatusCode)
-		a.headerSent = true
-		a.gateway.Metrics.FirstEvent.Observe(a.gateway.Now().Sub(a.arrived).Seconds())
-	}
+	a.startStream(resp)
 	a.markRunning()
 	a.recordEvent()
 	a.placement.AnswerStarted()
@@ -76,21 +68,39 @@
 	if last != "" {
 		a.lastEvent = last
 	}
-	_, err := a.w.Write(events)
+	a.flush(events)
+	a.setEventDeadline()
+	return true
+}
+
+// startStream writes the header of the response to the caller, unless that was done.
+func (c *call) startStream(resp *http.Response) {
+	if c.headerSent {
+		return
+	}
+	h := c.w.Header()
+	copyHeader(h, c.gateway.Protocol.ResponseHeader(resp.Header))
+	h.Del("Content-Length")
+	c.w.WriteHeader(resp.StatusCode)
+	c.headerSent = true
+	c.gateway.Metrics.FirstEvent.Observe(c.gateway.Now().Sub(c.arrived).Seconds())
+}
+
+// flush writes complete events to the caller at once.
+func (c *call) flush(events []byte) {
+	_, err := c.w.Write(events)
 	if err == nil {
-		err = rc.Flush()
+		err = http.NewResponseController(c.w).Flush()
 	}
 	if err != nil {
-		a.abortCallerLeft()
+		c.abortCallerLeft()
 	}
-	a.setEventDeadline()
-	return true
 }
 
 // setEventDeadline limits the wait for the next event if the stream may be resumed
 // on another endpoint.
 func (a *attempt) setEventDeadline() {
-	if !a.route.Repeatable() || a.route.GapTarget <= 0 || a.possibleRuns >= a.route.MaxAttempts {
+	if !a.route.Repeatable() || a.route.GapTarget <= 0 || a.possibleRuns >= a.maxRuns {
 		a.waitWithoutLimit()
 		return
 	}
--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -61,7 +61,7 @@
 // mayRunAgain reports whether a request that may have run may be sent to another endpoint, as
 // far as it depends on the request.
 func (c *call) mayRunAgain() bool {
-	return c.route.Repeatable() && c.possibleRuns < max(c.route.MaxAttempts, 1) && c.poisoned() == "" && c.gateway.Poison.MayResend(c.traits)
+	return c.route.Repeatable() && c.possibleRuns < c.maxRuns && c.poisoned() == "" && c.gateway.Poison.MayResend(c.traits)
 }
 
 // place returns the slot for the next attempt: the one that was taken for it, or a new one.
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -448,3 +448,25 @@
 	g.Expect(err).To(MatchError(objectstore.ErrNotFound), "Unregister deletes its own registration")
 	g.Expect(r.Unregister(ctx)).To(Succeed(), "a second call has no effect")
 }
+
+// Guards against requests that are forwarded to a peer that is silent, not ready, or reaches the
+// service's endpoints no more than this instance does.
+func TestNode_ReachingNamesPeersThatServe(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	n := NewNode(Options{ID: "gw-0", Boot: 1, OnMessage: func(Message) {}, Log: slog.New(slog.DiscardHandler), Now: func() time.Time { return now }})
+	hear := func(m Message, host byte) {
+		m.Boot, m.Seq = 1, 1
+		data, err := encode(m)
+		g.Expect(err).NotTo(HaveOccurred())
+		n.Receive(data, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 7600))
+	}
+	hear(Message{ID: "gw-1", Ready: true, ForwardPort: 7600}, 1)
+	now = now.Add(n.PeerTimeout() + time.Millisecond)
+	hear(Message{ID: "gw-2", Ready: true, ForwardPort: 7601}, 2)
+	hear(Message{ID: "gw-3", ForwardPort: 7600}, 3)
+	hear(Message{ID: "gw-4", Ready: true}, 4)
+	hear(Message{ID: "gw-5", Ready: true, ForwardPort: 7600, CutOff: []string{"s0", "s1"}}, 5)
+	g.Expect(n.Reaching("s1")).To(Equal([]string{"10.0.0.2:7601"}))
+	g.Expect(n.Reaching("s2")).To(ConsistOf("10.0.0.2:7601", "10.0.0.5:7600"))
+}
--- a/pkg/gossip/members.go
+++ b/pkg/gossip/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -100,6 +101,21 @@
 	return ids
 }
 
+// Reaching returns the addresses to which requests for a service may be forwarded: those of the
+// reachable ready peers that don't say that its endpoints are cut off.
+func (n *Node) Reaching(service string) []string {
+	timeout := n.PeerTimeout()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var addrs []string
+	for _, p := range n.peers {
+		if n.Now().Sub(p.lastSeen) <= timeout && p.ready && p.forwardPort != 0 && !slices.Contains(p.cutOff, service) {
+			addrs = append(addrs, netip.AddrPortFrom(p.addr.Addr(), p.forwardPort).String())
+		}
+	}
+	return addrs
+}
+
 // ReachablePeers returns the number of reachable peers.
 func (n *Node) ReachablePeers() int { return len(n.ReachablePeerIDs()) }
 
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -42,6 +42,11 @@
 	Config uint64 `cbor:"5,keyasint"`
 	// Ready is true if the sender accepts new callers and is a candidate for duties.
 	Ready bool `cbor:"10,keyasint,omitempty"`
+	// ForwardPort is the TCP port on which the sender takes requests of its peers' callers, at
+	// the address that it sends from; 0 if none. CutOff holds the services whose endpoints the
+	// sender doesn't reach.
+	ForwardPort uint16   `cbor:"23,keyasint,omitempty"`
+	CutOff      []string `cbor:"24,keyasint,omitempty"`
 	// Leaving is true in the last messages before a stop: the sender admits nothing more.
 	Leaving bool `cbor:"12,keyasint,omitempty"`
 	// Load holds the load by endpoint; endpoints without load are omitted.
--- a/pkg/gossip/node.go
+++ b/pkg/gossip/node.go
@@ -99,6 +99,9 @@
 	unreachable bool
 	// ready is true if the peer accepts new callers.
 	ready bool
+	// forwardPort and cutOff are those of the peer's newest message.
+	forwardPort uint16
+	cutOff      []string
 }
 
 // NewNode returns a node without peers.
@@ -200,6 +203,7 @@
 		n.queueNewPeer(from)
 	}
 	p.addr, p.boot, p.seq, p.lastSeen, p.unreachable, p.ready = from, m.Boot, m.Seq, n.Now(), false, m.Ready
+	p.forwardPort, p.cutOff = m.ForwardPort, m.CutOff
 	return true
 }
 
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -135,6 +135,18 @@
 	return false
 }
 
+// Connects reports whether a connection to an address can be opened.
+func (p *Pool) Connects(addr string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), p.DialTimeout)
+	defer cancel()
+	c, err := p.open(ctx, addr)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
 // Put returns a connection to the pool after its request has ended. If the response
 // was not read to its end (complete is false), it closes the connection. At most
 // limit idle connections are kept to an address.
