Refused connections show the end of an endpoint only if another endpoint accepts one

Callers saw 503 "the request crashes endpoints" for a sound request while instances lost their connections to endpoints by resets, and new ones were refused, several times.

Cause: a refused connection after a break counted as the endpoint's end, though all endpoints refused those of the instance: its own links were at fault.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -18,6 +18,7 @@
 	"github.com/medlarsill/medlarsill/pkg/sharedwatch"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
 	"github.com/medlarsill/medlarsill/pkg/truetime"
+	"github.com/medlarsill/medlarsill/pkg/upstream"
 	"github.com/medlarsill/medlarsill/pkg/usage"
 	"github.com/medlarsill/medlarsill/platform"
 )
@@ -95,8 +96,9 @@
 
 // newPoisonGuard returns the guard against requests that crash endpoints.
 func (p *process) newPoisonGuard() *poison.Guard {
+	ends := &upstream.EndChecker{Pool: p.pool, Others: p.table.OtherAddrs}
 	return poison.New(poison.Options{
-		Ended: p.pool.Refuses, Broadcast: p.node.BroadcastCrashes, Metrics: p.metrics, Log: p.log, Now: time.Now,
+		Ended: ends.Ended, Broadcast: p.node.BroadcastCrashes, Metrics: p.metrics, Log: p.log, Now: time.Now,
 		MayProbe: func(t poison.Trait) bool { return p.registry.Settled() && !p.isolated() && p.node.Owns(uint64(t)) },
 	})
 }
--- a/pkg/endpoints/endpoints_test.go
+++ b/pkg/endpoints/endpoints_test.go
@@ -432,3 +432,16 @@
 	table.Remove("i-2")
 	g.Expect(ids()).To(Equal([]string{"i-4"}), "there is no other endpoint")
 }
+
+func TestTable_OtherAddrsDifferInOrder(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable(func() {})
+	for n := range 6 {
+		table.Put(Info{ID: fmt.Sprint("i-", n), Service: "s1", Addr: fmt.Sprint("addr-", n)})
+	}
+	first, second := table.OtherAddrs("addr-0"), table.OtherAddrs("addr-1")
+	g.Expect(first).To(ConsistOf("addr-1", "addr-2", "addr-3", "addr-4", "addr-5"))
+	g.Expect(second).To(ConsistOf("addr-0", "addr-2", "addr-3", "addr-4", "addr-5"))
+	g.Expect(first[1:]).NotTo(Equal(second[1:]))
+	g.Expect(table.OtherAddrs("addr-0")).To(Equal(first))
+}
--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/rendezvous"
 )
 
 // maxDeparted bounds the number of departed endpoints, and of drained ones, that are remembered.
@@ -82,6 +84,22 @@
 	return slices.SortedFunc(maps.Values(t.all), func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 }
 
+// OtherAddrs returns the addresses of the other registered endpoints, in an order that is
+// different for each address.
+func (t *Table) OtherAddrs(addr string) []string {
+	var addrs []string
+	for _, e := range t.All() {
+		if e.Addr != addr {
+			addrs = append(addrs, e.Addr)
+		}
+	}
+	key := rendezvous.Key(addr)
+	slices.SortFunc(addrs, func(a, b string) int {
+		return cmp.Compare(rendezvous.HashWeight(key, rendezvous.Key(a)), rendezvous.HashWeight(key, rendezvous.Key(b)))
+	})
+	return addrs
+}
+
 // Put adds or updates a registration, unless it is of a departed process.
 func (t *Table) Put(i Info) {
 	t.mu.Lock()
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -120,15 +120,20 @@
 
 // Refuses reports whether connections to an address are refused, since no process accepts them.
 // An address that doesn't answer in time refuses none.
-func (p *Pool) Refuses(addr string) bool {
+func (p *Pool) Refuses(addr string) bool { return errors.Is(p.tryOpen(addr), syscall.ECONNREFUSED) }
+
+// Accepts reports whether a connection can be opened to an address.
+func (p *Pool) Accepts(addr string) bool { return p.tryOpen(addr) == nil }
+
+// tryOpen opens a connection and closes it.
+func (p *Pool) tryOpen(addr string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), p.DialTimeout)
 	defer cancel()
 	c, err := p.open(ctx, addr)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
-	c.Close()
-	return false
+	return c.Close()
 }
 
 // Put returns a connection to the pool after its request has ended. If the response
