A refusal without an id is no answer on a kept connection

What callers saw: a 503, and so the promise that the request did not run, for a request that the endpoint ran; or the request was sent to a second endpoint and ran there, too.

Cause: error responses may lack the request's id, and one without was taken for the answer to the request that was written last. A faulty endpoint that writes an earlier refusal once more, when the next request is on its way, so answered that one. A repeated refusal with an id was skipped before, since its id is another.

Change: an error response without an id belongs to a request only on a connection that has carried no other. On a kept connection it is skipped like one to another request: the answer that bears the id still comes, or the connection ends and the outcome is unknown. A refusal without an id on a new connection (400 included) goes on to count as one, and so does one with the id on any connection.

Evidence: 48 of 60 cases of TestGateway_EarlierRefusalIsNoAnswerToLaterRequest failed before (all without an id) and pass now; those with the earlier id, and TestGateway_TakesRefusalOfItsRequest, passed before, too.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -125,11 +125,12 @@
 	g.Backoffs.Observe(k, meta.Backoff)
 }
 
-// belongsToRequest reports whether a response belongs to the request. Error
-// responses may lack the id.
+// belongsToRequest reports whether a response belongs to the request. Error responses may lack
+// the id, but only on a connection that has carried no other request: a faulty endpoint may
+// write the response to an earlier one again.
 func (a *attempt) belongsToRequest(resp *http.Response) bool {
 	id := a.gateway.Protocol.Response(resp).RequestID
-	return id == a.meta.ID || id == "" && resp.StatusCode >= http.StatusBadRequest
+	return id == a.meta.ID || id == "" && resp.StatusCode >= http.StatusBadRequest && !a.conn.Reused()
 }
 
 // setResponseDeadline limits the wait for the response if the request may be
