A request whose id was refused on a connection goes out on another

What callers saw: the same as with refusals that lack the id, for a request that a caller sends again under its id, or that goes on to a second registration of the same address: the earlier refusal, written once more, bears the id of the later request, too, so that a request that ran was answered with 503.

Cause: the id tells two requests apart only if they differ in it.

Change: a connection remembers the ids that were refused on it, and a request with such an id is sent on a new one. There a refusal can't be the earlier one, so that sound refusals still count. After 256 refusals a connection isn't reused, which bounds what it remembers.

Evidence: both cases of TestGateway_EarlierRefusalUnderTheSameIDIsNoAnswer failed before (the endpoint ran a request that was answered with 503) and pass now.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -42,7 +42,7 @@
 func (c *call) attempt(ctx context.Context, p *schedule.Placement) outcome {
 	defer p.End()
 	g := c.gateway
-	conn, err := g.Pool.Get(ctx, p.Endpoint.Addr)
+	conn, err := c.connect(ctx, p)
 	if err != nil {
 		if ctx.Err() == nil {
 			p.Endpoint.RecordUnreachable(g.Now())
@@ -58,6 +58,18 @@
 	return a.exchange(ctx)
 }
 
+// connect returns a connection to the endpoint of the placement. It opens one if a request with
+// the same id was refused on the idle one: a refusal there could belong to either of them.
+func (c *call) connect(ctx context.Context, p *schedule.Placement) (*upstream.Conn, error) {
+	g := c.gateway
+	conn, err := g.Pool.Get(ctx, p.Endpoint.Addr)
+	if err != nil || !conn.HasRefused(c.meta.ID) {
+		return conn, err
+	}
+	conn.Close()
+	return g.Pool.Open(ctx, p.Endpoint.Addr)
+}
+
 // idleConns returns the number of idle connections to keep to the endpoint.
 func (a *attempt) idleConns() int {
 	s, ok := a.table.Service(a.service)
@@ -189,6 +201,7 @@
 // request did not run.
 func (a *attempt) handleRefusal(resp *http.Response, meta ResponseMeta) outcome {
 	a.possibleRuns--
+	a.conn.RecordRefusal(a.meta.ID)
 	a.reusable = a.discardRefusal(resp.Body)
 	if meta.WrongTarget {
 		a.placement.Endpoint.RecordUnreachable(a.gateway.Now())
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -52,8 +52,13 @@
 	noReuse bool
 	// reused means that the connection has carried an earlier request.
 	reused bool
+	// refused holds the ids of the requests that the endpoint has refused on the connection.
+	refused map[string]struct{}
 }
 
+// maxRefused is the number of refused requests after which a connection is not reused.
+const maxRefused = 256
+
 func newConn(c net.Conn) *Conn {
 	head := &headLimiter{r: c}
 	return &Conn{Conn: c, br: bufio.NewReaderSize(head, bufferBytes), head: head}
@@ -65,6 +70,22 @@
 // DisableReuse marks the connection so that it is not returned to the pool.
 func (c *Conn) DisableReuse() { c.noReuse = true }
 
+// RecordRefusal records that the endpoint has refused a request with an id.
+func (c *Conn) RecordRefusal(id string) {
+	if c.refused == nil {
+		c.refused = make(map[string]struct{})
+	}
+	c.refused[id] = struct{}{}
+	c.noReuse = c.noReuse || len(c.refused) >= maxRefused
+}
+
+// HasRefused reports whether the endpoint has refused a request with this id on the connection.
+// Another refusal with the id may then belong to that one.
+func (c *Conn) HasRefused(id string) bool {
+	_, ok := c.refused[id]
+	return ok
+}
+
 // Do sends a request and reads the header of its response. isOwn reports whether
 // a response with that header belongs to the request; other responses are
 // skipped. The caller must read the body to its end and return the connection
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// Open opens a connection. Its error wraps ErrNotSent.
+func (p *Pool) Open(ctx context.Context, addr string) (*Conn, error) { return p.dial(ctx, addr) }
+
 // popIdle removes and returns the most recently used idle connection, or nil.
 func (p *Pool) popIdle(addr string) *Conn {
 	p.mu.Lock()
