--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -21,6 +21,9 @@
 	responseTimeoutFactor = 3
 	// minResponseTimeout is the minimum of that time, for short objectives.
 	minResponseTimeout = 300 * time.Millisecond
+	// silenceSuspicion is the time after the send of a request at which an endpoint whose kernel
+	// hasn't acknowledged it gets no new requests over the connections that are open.
+	silenceSuspicion = 700 * time.Millisecond
 )
 
 // attempt is the state of one attempt to run a call on an endpoint.
@@ -31,7 +34,8 @@
 	// reusable is true if the connection can be reused: the response was read to its
 	// end, or nothing was sent.
 	reusable bool
-	sent     time.Time
+	// silent is true once the endpoint was silent for longer than the limit.
+	silent bool
 	// firstEvent is when the first event of the answer arrived; zero before. survived is true
 	// once the endpoint is known to have survived the beginning of the answer.
 	firstEvent time.Time
@@ -47,7 +51,7 @@
 		if ctx.Err() == nil {
 			p.Endpoint.RecordUnreachable(g.Now())
 		}
-		return outcome{state: stateUnsent, reason: "not reached"}
+		return outcome{state: stateUnsent, reason: "not reached", err: err}
 	}
 	a := &attempt{call: c, placement: p, conn: conn}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
@@ -93,9 +97,11 @@
 	a.recordSend()
 	a.attempts++
 	a.possibleRuns++
-	a.sent = g.Now()
+	a.lastSent = g.Now()
 	a.setResponseDeadline(left)
+	suspicion := time.AfterFunc(silenceSuspicion, a.suspectSilence)
 	resp, err := a.conn.Do(a.request(left), a.belongsToRequest)
+	suspicion.Stop()
 	if err != nil {
 		return a.handleNoResponse(ctx, err)
 	}
@@ -112,6 +118,18 @@
 	return a.relay(ctx, resp)
 }
 
+// suspectSilence keeps new requests away from an endpoint that hasn't acknowledged this one. This
+// one goes on waiting: the endpoint may go on.
+func (a *attempt) suspectSilence() {
+	if !a.conn.Unacknowledged() {
+		return
+	}
+	g, e := a.gateway, a.placement.Endpoint
+	e.RecordUnreachable(g.Now())
+	g.Pool.CloseIdle(e.Addr)
+	g.Log.Info("endpoint silent", "endpoint", e.ID, "request", a.meta.ID)
+}
+
 // recordSend records that the request is sent to the endpoint.
 func (a *attempt) recordSend() {
 	k := a.placement.Endpoint.Key()
@@ -132,7 +150,7 @@
 	k := e.Key()
 	if meta.RateLimit.Limited || meta.RateLimit.Err != nil || meta.Stamped || meta.NotRun {
 		// An answer without the endpoint's proof may lack what the endpoint announces.
-		g.RateLimits.Observe(k, a.sent, meta.RateLimit)
+		g.RateLimits.Observe(k, a.lastSent, meta.RateLimit)
 	}
 	g.Backoffs.Observe(k, meta.Backoff)
 }
@@ -149,10 +167,10 @@
 // sent to another endpoint. Otherwise only the call's context limits it.
 func (a *attempt) setResponseDeadline(left time.Duration) {
 	if !a.route.Repeatable() || a.possibleRuns >= a.route.MaxAttempts {
-		_ = a.conn.SetReadDeadline(time.Time{})
+		a.waitWithoutLimit()
 		return
 	}
-	_ = a.conn.SetReadDeadline(a.gateway.Now().Add(min(left, a.responseTimeout())))
+	a.limitSilence(min(left, a.responseTimeout()))
 }
 
 // responseTimeout returns how long an endpoint may take for the head or the body of a
@@ -188,13 +206,13 @@
 	g := a.gateway
 	if ctx.Err() != nil {
 		a.placement.Abandoned()
-		return outcome{state: stateUnknown, reason: "no answer in time"}
+		return outcome{state: stateUnknown, reason: "no answer in time", err: err}
 	}
 	a.recordBreak(err)
 	a.placement.Endpoint.RecordUnreachable(g.Now())
 	g.Pool.CloseIdle(a.placement.Endpoint.Addr)
 	g.Log.Debug("failed to receive response from endpoint", "request", a.meta.ID, "endpoint", a.placement.Endpoint.ID, "error", err.Error(), "reused", a.conn.Reused())
-	return outcome{state: stateUnknown, reason: "connection failed"}
+	return outcome{state: stateUnknown, reason: "connection failed", err: err}
 }
 
 // handleRefusal handles a response with which the endpoint confirms that the
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // Errors of Pool.Get and Conn.Do, possibly wrapped.
@@ -41,9 +42,10 @@
 // Conn is one connection to an endpoint. It carries one request at a time.
 type Conn struct {
 	net.Conn
-	// br reads from the connection through head.
-	br   *bufio.Reader
-	head *headLimiter
+	// br reads from the connection through head and reader.
+	br     *bufio.Reader
+	head   *headLimiter
+	reader *deadlineReader
 	// idleSince is when the connection was last returned to the pool.
 	idleSince time.Time
 	// idleTimeout is the endpoint's timeout for idle connections; 0 if unknown.
@@ -60,8 +62,9 @@
 const maxRefused = 256
 
 func newConn(c net.Conn) *Conn {
-	head := &headLimiter{r: c}
-	return &Conn{Conn: c, br: bufio.NewReaderSize(head, bufferBytes), head: head}
+	reader := &deadlineReader{Conn: c}
+	head := &headLimiter{r: reader}
+	return &Conn{Conn: c, br: bufio.NewReaderSize(head, bufferBytes), head: head, reader: reader}
 }
 
 // Reused reports whether the connection has carried an earlier request.
@@ -169,6 +172,25 @@
 	}
 }
 
+// Unacknowledged reports whether the endpoint's kernel has not acknowledged all that was sent.
+// It may be called while the connection is in use.
+func (c *Conn) Unacknowledged() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unsent := 0
+	err = raw.Control(func(fd uintptr) {
+		// An error leaves the number at 0: nothing is known.
+		unsent, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	return err == nil && unsent > 0
+}
+
 // inputEmpty reports whether an idle connection is still open and has no unread
 // input. Input on an idle connection belongs to no request.
 func (c *Conn) inputEmpty() bool {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -16,10 +17,13 @@
 	// DefaultDialTimeout bounds the opening of a connection, which takes
 	// milliseconds for a healthy endpoint.
 	DefaultDialTimeout = 150 * time.Millisecond
-	// userTimeout is how long sent bytes may remain unacknowledged (TCP_USER_TIMEOUT).
-	userTimeout = 700 * time.Millisecond
+	// silenceLimit is how long an endpoint's kernel may acknowledge nothing before the connection
+	// ends. A sound endpoint may be silent for a second or two.
+	silenceLimit = 5 * time.Second
 	// keepAlivePeriod is the idle time before, and the interval between, TCP keep-alive probes.
 	keepAlivePeriod = time.Second
+	// keepAliveProbes is the number of unanswered probes that ends a connection.
+	keepAliveProbes = int(silenceLimit/keepAlivePeriod) - 1
 	// defaultIdleTimeout is assumed for endpoints that send no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
 	// idleTimeoutShare is the fraction of the endpoint's idle timeout after which a
@@ -86,30 +90,34 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
-	open := p.Dial
-	if open == nil {
-		open = p.dialTCP
-	}
-	c, err := open(ctx, addr)
+	c, err := p.open(ctx, addr)
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
 	return newConn(c), nil
 }
 
+func (p *Pool) open(ctx context.Context, addr string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, addr)
+	}
+	return p.dialTCP(ctx, addr)
+}
+
 func (p *Pool) dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: p.DialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2,
+		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes,
 	}}
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// setUserTimeout makes the kernel close a connection whose peer does not
-// acknowledge sent bytes within userTimeout.
+// setUserTimeout makes the kernel close a connection whose peer acknowledges neither bytes nor
+// keep-alive probes within silenceLimit. The option also decides when probes give up, whatever
+// their count.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceLimit.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -117,13 +125,14 @@
 	return optErr
 }
 
-// Refuses reports whether no connection can be opened to an address.
+// Refuses reports whether connections to an address are refused, since no process accepts them.
+// An address that doesn't answer in time refuses none.
 func (p *Pool) Refuses(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), p.DialTimeout)
 	defer cancel()
-	c, err := p.dial(ctx, addr)
+	c, err := p.open(ctx, addr)
 	if err != nil {
-		return true
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	c.Close()
 	return false
