Only the next events follow in a stream that is resumed

What callers saw: when a stream broke off, and the next endpoint's answer was an error document with status 200, its text in the middle of their stream, as if it were events; an error's whole head, where it was written inside an event; or events that skip or repeat some. Callers that took up a stream by themselves got such a document as its continuation.

Cause: of each series of events only the first id was compared with the last event, and a text without any id, or with one that isn't a number, always followed.

Change: each event is checked. In an answer to a resumed stream, the first event must have the id that directly follows; comments before it wait for it; every line must be one of an event stream, and another Content-Type than that of events ends the attempt. What follows is passed on up to the first event that doesn't. An endpoint's first answer goes on to be passed on as it is until its first id.

Errors with an error's status, refusals and redirections never got into a stream.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 )
 
 const (
@@ -19,24 +18,25 @@
 	stallTimeoutFactor = 5
 )
 
-// eventEnd ends each event of a stream.
-var eventEnd = []byte("\n\n")
-
 // relayStream forwards complete events as they arrive.
 func (a *attempt) relayStream(ctx context.Context, resp *http.Response) outcome {
 	rc := http.NewResponseController(a.w)
+	events := continuation{last: a.lastEvent, resumes: a.headerSent || a.lastEvent != ""}
+	if events.resumes && !isEventStream(resp) {
+		return a.failResumption()
+	}
 	buf := make([]byte, 0, readSize)
 	chunk := make([]byte, readSize)
 	for {
 		n, err := resp.Body.Read(chunk)
 		searched := max(0, len(buf)-len(eventEnd)+1)
 		buf = append(buf, chunk[:n]...)
-		if end := bytes.LastIndex(buf[searched:], eventEnd); end >= 0 {
-			events := buf[:searched+end+len(eventEnd)]
-			if !a.writeEvents(rc, resp, events) {
+		if bytes.Contains(buf[searched:], eventEnd) {
+			size, ok := events.accept(buf)
+			if size > 0 && !a.writeEvents(rc, resp, buf[:size]) || !ok {
 				return outcome{state: stateUnknown, reason: "events don't continue the stream"}
 			}
-			buf = append(buf[:0], buf[len(events):]...)
+			buf = append(buf[:0], buf[size:]...)
 		}
 		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(buf)) == 0 && a.mayBeComplete(resp) {
 			return a.finishStream(resp)
@@ -53,12 +53,18 @@
 	return !a.firstEvent.IsZero() || a.headerSent && !endsWithConnection(resp)
 }
 
+// failResumption handles a response to a resumed stream that doesn't continue it.
+func (a *attempt) failResumption() outcome {
+	a.conn.DisableReuse()
+	a.placement.Endpoint.RecordFailure(a.gateway.Now())
+	return outcome{state: stateUnknown, reason: "stream not resumed"}
+}
+
 // writeEvents writes complete events to the caller and flushes them. It reports whether they
-// directly follow the last event that the caller has received, and are of the build that began
-// the stream.
+// are of the build that began the stream.
 func (a *attempt) writeEvents(rc *http.ResponseController, resp *http.Response, events []byte) bool {
-	first, last, count := eventIDs(events)
-	if !follows(a.lastEvent, first) || !a.recordBuild() {
+	_, last, count := eventIDs(events)
+	if !a.recordBuild() {
 		return false
 	}
 	if !a.headerSent {
@@ -115,31 +121,3 @@
 	}
 	return outcome{state: stateUnknown, reason: "stream broke off", err: err}
 }
-
-// eventIDs returns the first and the last event id in a series of complete events,
-// and the number of ids.
-func eventIDs(events []byte) (first, last string, count int) {
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		count++
-		last = string(bytes.TrimSpace(value))
-		if first == "" {
-			first = last
-		}
-	}
-	return first, last, count
-}
-
-// follows reports whether the event id next directly follows have. Ids that are
-// empty or not numeric always do.
-func follows(have, next string) bool {
-	if have == "" || next == "" {
-		return true
-	}
-	h, errHave := strconv.Atoi(have)
-	n, errNext := strconv.Atoi(next)
-	return errHave != nil || errNext != nil || n == h+1
-}
