An answer without an event doesn't end a stream that is resumed

What callers saw: a stream that had broken off ended as if it were complete, with its last events missing, where the next endpoint answered with an empty 200, a 204 or blank lines.

Cause: an answer whose framing marks its end was taken for the rest of the stream, even with nothing in it. It can't be told from the true rest of a stream that had broken off between its last event and its end. That is next to impossible, since endpoints write both at once, and such a caller is only told that its stream broke off.

Change: only an answer with an event that continues the stream completes it. The attempt counts as a failure of the endpoint, not as a crash.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -38,22 +38,21 @@
 			}
 			buf = append(buf[:0], buf[size:]...)
 		}
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(buf)) == 0 && a.mayBeComplete(resp) {
+		ended := errors.Is(err, io.EOF) && len(bytes.TrimSpace(buf)) == 0
+		if ended && !a.firstEvent.IsZero() {
 			return a.finishStream(resp)
 		}
+		if errors.Is(err, io.EOF) && events.resumes && !events.identified && !endsWithConnection(resp) {
+			return a.failResumption()
+		}
 		if err != nil || len(buf) > maxEventBytes {
 			return a.failStream(ctx, err)
 		}
 	}
 }
 
-// mayBeComplete reports whether a stream that has ended between two events may be complete.
-// One without events isn't, unless its framing marks the end of a resumed stream.
-func (a *attempt) mayBeComplete(resp *http.Response) bool {
-	return !a.firstEvent.IsZero() || a.headerSent && !endsWithConnection(resp)
-}
-
-// failResumption handles a response to a resumed stream that doesn't continue it.
+// failResumption handles a response to a resumed stream that is whole but doesn't continue it. No
+// response without an event does: where the stream has ended, its endpoint says so after the last.
 func (a *attempt) failResumption() outcome {
 	a.conn.DisableReuse()
 	a.placement.Endpoint.RecordFailure(a.gateway.Now())
