A stream whose events have no ids isn't resumed

What callers saw: where such a stream broke off, the next endpoint began it anew, and its events followed those that the caller had already.

Cause: a resumable stream was sent to the next endpoint whether or not there was an id after which to go on.

Change: once events without an id have been passed on, the request isn't sent again, and the stream ends as broken off.

--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -61,6 +61,9 @@
 // mayRunAgain reports whether a request that may have run may be sent to another endpoint, as
 // far as it depends on the request.
 func (c *call) mayRunAgain() bool {
+	if c.headerSent && c.lastEvent == "" {
+		return false // a stream whose events have no ids can't be resumed
+	}
 	return c.route.Repeatable() && c.possibleRuns < max(c.route.MaxAttempts, 1) && c.poisoned() == "" && c.gateway.Poison.MayResend(c.traits)
 }
 
