Shared watches: relays send no batch that followers can't unpack

What could be seen: an odd object of up to 1 MB that compresses well, such as one that is nested very deep, went out in full in a datagram that no follower could unpack. Each of them logged it, missed the changes of the sound objects in it, and read them from the store on its own.

Cause: a batch was sent in full if it was small when compressed. Its receivers unpack no more than 1 MiB.

Change: what is larger than that unpacked is sent in the short form, with the small objects in full and the large ones by name.

--- a/pkg/sharedwatch/batch.go
+++ b/pkg/sharedwatch/batch.go
@@ -92,8 +92,8 @@
 	if err != nil {
 		return nil, err
 	}
-	b.Packed = packed
-	if len(packed) > maxBatchBytes {
+	b.Packed = packed.data
+	if !packed.fits {
 		b.Packed, b.Omitted = nil, true
 		b.PackedCompact, err = packCompact(b.Objects, known)
 		if err != nil {
@@ -104,28 +104,39 @@
 	return data, eris.Wrap(err, "sharedwatch: encode batch")
 }
 
-// pack encodes and compresses objects. It returns nil for an empty list.
-func pack(objects []object) ([]byte, error) {
+// packedValue is an encoded and compressed value.
+type packedValue struct {
+	data []byte
+	// fits is true if it fits into a batch, and its receivers unpack it.
+	fits bool
+}
+
+// pack encodes and compresses objects. It returns no data for an empty list.
+func pack(objects []object) (packedValue, error) {
 	if len(objects) == 0 {
-		return nil, nil
+		return packedValue{fits: true}, nil
 	}
 	return packValue(objects)
 }
 
 // packValue encodes and compresses a value.
-func packValue(value any) ([]byte, error) {
+func packValue(value any) (packedValue, error) {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		return packedValue{}, eris.Wrap(err, "sharedwatch: pack changes")
+	}
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
 	if err != nil {
-		return nil, eris.Wrap(err, "sharedwatch: pack changes")
+		return packedValue{}, eris.Wrap(err, "sharedwatch: pack changes")
 	}
-	if err := cbor.NewEncoder(w).Encode(value); err != nil {
-		return nil, eris.Wrap(err, "sharedwatch: pack changes")
+	if _, err := w.Write(data); err != nil {
+		return packedValue{}, eris.Wrap(err, "sharedwatch: pack changes")
 	}
 	if err := w.Close(); err != nil {
-		return nil, eris.Wrap(err, "sharedwatch: pack changes")
+		return packedValue{}, eris.Wrap(err, "sharedwatch: pack changes")
 	}
-	return out.Bytes(), nil
+	return packedValue{data: out.Bytes(), fits: len(data) <= maxObjectsBytes && out.Len() <= maxBatchBytes}, nil
 }
 
 // unpack is the inverse of packValue. It does nothing if packed is empty, and returns an
--- a/pkg/sharedwatch/compact.go
+++ b/pkg/sharedwatch/compact.go
@@ -40,8 +40,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if len(packed) <= maxBatchBytes {
-			return packed, nil
+		if packed.fits {
+			return packed.data, nil
 		}
 	}
 	return nil, nil
--- a/pkg/sharedwatch/sharedwatch_test.go
+++ b/pkg/sharedwatch/sharedwatch_test.go
@@ -1,6 +1,7 @@
 package sharedwatch
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -352,3 +353,31 @@
 		}
 	})
 }
+
+// Guards against batches that their receivers can't decode, so that a change of a small object
+// that comes with large ones of much the same bytes isn't known without a call to the store.
+func TestEncode_ReceiversDecodeWhatIsSent(t *testing.T) {
+	for name, c := range map[string]struct{ count, bytes int }{
+		"one of the largest size": {1, objectstore.MaxValueBytes}, "two large ones": {2, 600 << 10}, "many small ones": {1000, 2 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sent := Batch{Prefix: "servers/", From: 1, To: 2000}
+			for n := range c.count {
+				sent.Objects = append(sent.Objects, object{Key: fmt.Sprint("servers/odd-", n), Version: uint64(n + 2), Value: bytes.Repeat([]byte("["), c.bytes)})
+			}
+			sent.Objects = append(sent.Objects, object{Key: "servers/sound", Version: 2000, Value: []byte(`{}`)})
+			data, err := encode(sent, newKnownValues())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(len(data)).To(BeNumerically("<=", maxBatchBytes+512))
+			received, err := decode(data)
+			g.Expect(err).NotTo(HaveOccurred())
+			changes, known := received.changes()
+			if !known {
+				return // followers watch the store directly
+			}
+			g.Expect(changes).To(HaveLen(c.count + 1))
+			g.Expect(changes).To(ContainElement(HaveField("Object", objectstore.Object{Key: "servers/sound", Version: 2000, Value: []byte(`{}`)})))
+		})
+	}
+}
