--- a/pkg/endpoints/endpoints_test.go
+++ b/pkg/endpoints/endpoints_test.go
@@ -1,14 +1,15 @@
 package endpoints
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -233,6 +234,8 @@
 	down   atomic.Bool
 	cancel func()
 	done   chan error
+	// log holds the log's lines.
+	log bytes.Buffer
 }
 
 func startFollower() *testFollower {
@@ -244,7 +247,7 @@
 		return memstore.FaultNone
 	})
 	follower := NewFollower(FollowerOptions{
-		Store: f.store, Prefix: "eps/", Table: f.table, Now: time.Now, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Store: f.store, Prefix: "eps/", Table: f.table, Now: time.Now, Log: slog.New(slog.NewTextHandler(&f.log, nil)),
 		Decode: func(key string, value []byte) (Info, error) {
 			var i Info
 			if err := json.Unmarshal(value, &i); err != nil {
@@ -402,6 +405,46 @@
 	})
 }
 
+// Guards against a log that fills up with one odd registration, which is read anew with each
+// list, and again and again while its writer repeats it.
+func TestFollower_LogsIgnoredRegistrationOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := startFollower()
+		defer f.stop()
+		lines := func() int {
+			synctest.Wait()
+			return strings.Count(f.log.String(), "registration ignored")
+		}
+		f.write("odd", `nonsense`)
+		f.write("i-1", readyRegistration)
+		for range 5 {
+			f.write("odd", `nonsense`)
+			time.Sleep(time.Second)
+			f.write("i-1", readyRegistration) // completes the pending watch call
+			f.down.Store(true)
+			time.Sleep(time.Second)
+			f.down.Store(false)
+			time.Sleep(time.Second)
+		}
+		g.Expect(ids(f.table.Service("s1"))).To(Equal([]string{"i-1"}))
+		g.Expect(lines()).To(Equal(1))
+		g.Expect(f.log.String()).To(ContainSubstring("key=eps/odd"))
+
+		f.write("odd", `{"Service":"s1","Addr":"10.0.0.1:80","Born":1}`)
+		time.Sleep(time.Second)
+		g.Expect(ids(f.table.Service("s1"))).To(Equal([]string{"i-1", "odd"}))
+		f.write("odd", `nonsense`)
+		time.Sleep(time.Second)
+		g.Expect(lines()).To(Equal(2), "it was valid in between")
+		f.remove("odd")
+		time.Sleep(time.Second)
+		f.write("odd", `nonsense`)
+		time.Sleep(time.Second)
+		g.Expect(lines()).To(Equal(3), "it was removed in between")
+	})
+}
+
 // Guards against streams that begin at a build that no record names: after the end of all
 // instances they would be taken for streams of another one.
 func TestTable_UsesNewBuildOnceConfirmed(t *testing.T) {
--- a/pkg/endpoints/follow.go
+++ b/pkg/endpoints/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
@@ -41,11 +42,14 @@
 	synced chan struct{}
 	// resyncedAt is when the store last answered again after a failed call.
 	resyncedAt time.Time
+	// ignored holds why registrations that the store holds are ignored, by key. Each is logged
+	// once.
+	ignored map[string]string
 }
 
 // NewFollower returns a follower; Run starts it.
 func NewFollower(o FollowerOptions) *Follower {
-	f := &Follower{FollowerOptions: o, synced: make(chan struct{})}
+	f := &Follower{FollowerOptions: o, synced: make(chan struct{}), ignored: make(map[string]string)}
 	f.loop = watch.Loop{Store: o.Store, Prefix: o.Prefix, Name: "endpoint list", Apply: f.apply, Members: o.Members, CoalesceDelay: batchDelay, Log: o.Log, Now: o.Now}
 	return f
 }
@@ -81,11 +85,14 @@
 // has the changes since the last position.
 func (f *Follower) applyList(c objectstore.Changes) {
 	list := make([]Info, 0, len(c.Objects))
+	listed := make(map[string]bool, len(c.Objects))
 	for _, o := range c.Objects {
+		listed[o.Key] = true
 		if i, ok := f.decode(o); ok {
 			list = append(list, i)
 		}
 	}
+	maps.DeleteFunc(f.ignored, func(key, _ string) bool { return !listed[key] })
 	for _, id := range f.Table.Replace(list) {
 		f.registrationMissing(id)
 	}
@@ -95,6 +102,7 @@
 func (f *Follower) applyObject(o objectstore.Object) {
 	id := o.Key[len(f.Prefix):]
 	if o.Deleted {
+		delete(f.ignored, o.Key)
 		f.registrationMissing(id)
 		return
 	}
@@ -120,11 +128,15 @@
 
 func (f *Follower) decode(o objectstore.Object) (Info, bool) {
 	i, err := f.Decode(o.Key, o.Value)
-	if err != nil {
-		f.Log.Warn("registration ignored", "key", o.Key, "version", o.Version, "error", err.Error())
-		return i, false
+	if err == nil {
+		delete(f.ignored, o.Key)
+		return i, true
 	}
-	return i, true
+	if reason := err.Error(); f.ignored[o.Key] != reason {
+		f.ignored[o.Key] = reason
+		f.Log.Warn("registration ignored", "key", o.Key, "version", o.Version, "error", reason)
+	}
+	return i, false
 }
 
 // registrationMissing removes an endpoint whose registration is missing. Shortly after a
