--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -77,7 +77,7 @@
 	if c.forwarded || c.deadline.Sub(c.gateway.Now()) < minTimeLeft {
 		return false
 	}
-	return c.possibleRuns == 0 || c.route.Repeatable() && c.possibleRuns < c.maxRuns
+	return c.possibleRuns == 0 || c.route.Repeatable() && c.possibleRuns < c.maxRuns && c.resumable()
 }
 
 // forwardTo sends the request to a peer and relays its response.
@@ -189,9 +189,15 @@
 
 // relayStream forwards complete events as they arrive.
 func (f *forwardAttempt) relayStream(resp *http.Response) outcome {
+	// An error shows in the next read.
 	_ = f.conn.SetReadDeadline(time.Time{})
-	left, err := splitEvents(resp.Body, func(events []byte) bool { return f.writeEvents(resp, events) })
-	if err != nil || left > 0 || !f.headerSent {
+	events := continuation{last: f.lastEvent, resumes: f.headerSent || f.lastEvent != ""}
+	if events.resumes && !isEventStream(resp) {
+		return outcome{state: stateUnknown, reason: "stream not resumed"}
+	}
+	left, err := splitEvents(resp.Body, &events, func(accepted []byte) { f.writeEvents(resp, accepted) })
+	continued := f.headerSent && (events.identified || !events.resumes)
+	if err != nil || left > 0 || !continued {
 		return outcome{state: stateUnknown, reason: "stream broke off", err: err}
 	}
 	f.complete = true
@@ -199,49 +205,41 @@
 	return outcome{state: stateAnswered, done: true}
 }
 
-// errEvents is the error of events that don't directly follow those before.
+// errEvents is the error of events that don't directly follow those before, or don't end.
 var errEvents = errors.New("events don't continue the stream")
 
-// splitEvents calls write with complete events as they arrive, until the body ends. It returns the
-// number of bytes after the last complete event.
-func splitEvents(body io.Reader, write func(events []byte) bool) (left int, err error) {
+// splitEvents calls write with complete events that continue the stream, as they arrive, until
+// the body ends. It returns the number of bytes after the last of them.
+func splitEvents(body io.Reader, events *continuation, write func(accepted []byte)) (left int, err error) {
 	buf := make([]byte, 0, readSize)
 	chunk := make([]byte, readSize)
 	for {
 		n, err := body.Read(chunk)
 		buf = append(buf, chunk[:n]...)
-		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
-			end += len(eventEnd)
-			if !write(buf[:end]) {
-				return 0, errEvents
-			}
-			buf = append(buf[:0], buf[end:]...)
+		size, ok := events.accept(buf)
+		if size > 0 {
+			write(buf[:size])
+			buf = append(buf[:0], buf[size:]...)
+		}
+		if !ok || len(buf) > maxEventBytes {
+			return 0, errEvents
 		}
 		if errors.Is(err, io.EOF) {
 			return len(bytes.TrimSpace(buf)), nil
 		}
-		if err == nil && len(buf) > maxEventBytes {
-			err = errEvents
-		}
 		if err != nil {
 			return 0, err
 		}
 	}
 }
 
-// writeEvents writes complete events to the caller and flushes them. It reports whether they
-// directly follow the last event that the caller has received.
-func (f *forwardAttempt) writeEvents(resp *http.Response, events []byte) bool {
-	first, last, _ := eventIDs(events)
-	if !follows(f.lastEvent, first) {
-		return false
-	}
+// writeEvents writes complete events to the caller and flushes them.
+func (f *forwardAttempt) writeEvents(resp *http.Response, events []byte) {
 	f.startStream(resp)
-	if last != "" {
+	if _, last, _ := eventIDs(events); last != "" {
 		f.lastEvent = last
 	}
 	f.flush(events)
-	return true
 }
 
 // requestTo returns the caller's request with other headers; path, query and body are unchanged.
--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -61,9 +61,16 @@
 // mayRunAgain reports whether a request that may have run may be sent to another endpoint, as
 // far as it depends on the request.
 func (c *call) mayRunAgain() bool {
+	if !c.resumable() {
+		return false
+	}
 	return c.route.Repeatable() && c.possibleRuns < c.maxRuns && c.poisoned() == "" && c.gateway.Poison.MayResend(c.traits)
 }
 
+// resumable reports whether the response can go on elsewhere: a stream whose events have no ids
+// can't, once it has begun.
+func (c *call) resumable() bool { return !c.headerSent || c.lastEvent != "" }
+
 // place returns the slot for the next attempt: the one that was taken for it, or a new one.
 func (c *call) place(ctx context.Context) (*schedule.Placement, error) {
 	if p := c.successor; p != nil {
