startup: log lines from a process's start to its first answer

Cause: what a start waits for couldn't be told from the logs: only the configuration, the list of endpoints and peers had lines, and the first answer none. Change: one line for each step that is reached (configuration, ready, members, half of the peers, first request, first answer with the failures before it) with the time since the start, and one for each that isn't reached in 10 s.

--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -34,6 +34,7 @@
 	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/pkg/sharedwatch"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
+	"github.com/medlarsill/medlarsill/pkg/startup"
 	"github.com/medlarsill/medlarsill/pkg/truetime"
 	"github.com/medlarsill/medlarsill/pkg/upstream"
 	"github.com/medlarsill/medlarsill/pkg/usage"
@@ -92,6 +93,7 @@
 	reporter         *usage.Reporter
 	planner          *scaling.Planner
 	startedAt        time.Time
+	startup          *startup.Timeline
 	stopping         atomic.Bool
 	// stopRequested is closed to request a planned stop.
 	stopRequested chan struct{}
@@ -124,11 +126,22 @@
 		Pool: p.pool, Metrics: gateway.NewMetrics(p.metrics), Log: log, KnownState: p.knownState, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
 	})
 	p.setUpDuties(client)
-	p.ingress = ingress.New(cfg.Listen, p.gateway, p.limits, time.Now)
+	p.startup = startup.New(startup.Options{Steps: p.startupSteps(), Log: log, Now: time.Now})
+	p.ingress = ingress.New(cfg.Listen, p.startup.Handler(p.gateway), p.limits, time.Now)
 	p.registerStateMetrics()
 	return p
 }
 
+// startupSteps returns what this process waits for after its start.
+func (p *process) startupSteps() []startup.Step {
+	return []startup.Step{
+		{Name: "configuration", Reached: func() bool { return p.config.Current() != nil }},
+		{Name: "ready", Reached: p.ready},
+		{Name: "members", Reached: func() bool { return p.node.Members() > 1 }},
+		{Name: "half of the peers", Reached: func() bool { return p.node.Members() > 1 && !p.isolated() }},
+	}
+}
+
 // endpointsChanged places waiting requests and triggers a new capacity plan.
 func (p *process) endpointsChanged() {
 	p.scheduler.PlaceWaiting()
@@ -193,6 +206,7 @@
 		p.endpointFollower.Run,
 		p.ingress.Sweep,
 		p.sweepPool,
+		p.startup.Run,
 		p.logSpeeds,
 		p.tickRateLimits,
 		p.poison.Run,
