allowance: silent peers are set aside their part after one round, not four

Cause: an instance of 63 hears of each other one once a second, and took a peer for unreachable after four seconds. Until then it assumed what the peer had used before. With half of the instances cut off and the demand rising on both sides, both spent the whole limit. Besides, each instance could spend its part of the whole balance five times before all peers knew, and its part came from averages of peers that lag behind its own. Change: a peer that is missing in one round is set aside its part of what there was when it last reported, and of what came since; if it reports within the time after which it is unreachable the rest is given back. The balance is spent over a round, and the demand of all peers is estimated from those that have just reported. Up to nine instances, where a round is one message, only the first of these changes anything.

--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -115,7 +115,7 @@
 	p.scheduler = schedule.New(p.table, slots, time.Now)
 	p.setUpPeers()
 	p.scheduler.Members = p.node.Members
-	p.allowances = allowance.New(allowance.Options{Overshoot: allowanceShare * cfg.AllowanceOver, Credit: creditShare * cfg.AllowanceSlack, Now: time.Now, PeerTimeout: p.node.PeerTimeout, Members: p.node.Members})
+	p.allowances = allowance.New(allowance.Options{Overshoot: allowanceShare * cfg.AllowanceOver, Credit: creditShare * cfg.AllowanceSlack, Now: time.Now, PeerTimeout: p.node.PeerTimeout, RoundTime: p.node.RoundTime, ReportInterval: gossip.Interval, Members: p.node.Members})
 	p.rateLimits = ratelimit.New(ratelimit.Options{Members: p.membership, Metrics: ratelimit.NewMetrics(p.metrics), Log: log, Now: time.Now})
 	p.backoffs = backoff.New(backoff.Options{Metrics: p.metrics, Log: log, Now: time.Now})
 	p.scheduler.Limits = schedule.AllOf{p.backoffs, p.rateLimits}
--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -1,11 +1,12 @@
 // Package allowance enforces the rate limit of each workspace across all
 // instances. Every instance runs a token bucket with the whole limit. Its own
 // admissions are charged immediately, those of its peers when their reports
-// arrive; until then their expected use is reserved. An unreachable peer is
-// assumed to use an equal share, and an instance that reaches no peer uses no more
-// than an equal share, so that the limit holds under partitions. An instance may
-// spend only part of the balance between two of its reports, so that instances
-// that see the same full account don't all spend it.
+// arrive; until then their expected use is reserved. A silent peer is assumed to
+// use an equal share, and an instance that reaches no peer uses no more than an
+// equal share, so that the limit holds under partitions. An instance may spend only
+// part of the balance between two of its reports, and the less of it the more
+// reports it takes until all peers know, so that instances that see the same full
+// account don't all spend it.
 package allowance
 
 import (
@@ -17,7 +18,7 @@
 )
 
 const (
-	// rateWeight is the weight of the newest value in the moving averages of the rates.
+	// rateWeight is the largest weight of the newest value in the moving averages of the rates.
 	rateWeight = 0.4
 	// minRetryAfter is the shortest time after which a refused caller may retry.
 	minRetryAfter = 100 * time.Millisecond
@@ -30,12 +31,13 @@
 	// assumedDemand is the baseline demand, as a share of the limit's rate, that is
 	// divided equally among all instances when their demands are compared.
 	assumedDemand = 0.25
-	// reportsPerRound is the largest number of peers that report in one round.
-	reportsPerRound = 8
-	// overspendFactor is the multiple of the balance that all instances together
-	// may spend between two reports.
-	overspendFactor = 1.2
-	// dropPeerAfter is how long the reports of an unreachable peer are kept. The
+	// reportsAwaited is the largest number of peers of which half must have reported since
+	// this process's last report.
+	reportsAwaited = 8
+	// overspend is the share by which what all instances together may spend between two
+	// reports exceeds the balance, if all peers learn of it with these reports.
+	overspend = 0.2
+	// dropPeerAfter is how long the reports of a silent peer are kept. The
 	// equal share that is reserved for it doesn't depend on them.
 	dropPeerAfter = time.Minute
 )
@@ -49,8 +51,13 @@
 	Credit float64
 	Now    func() time.Time
 	// PeerTimeout returns how long after its last report a peer is considered
-	// unreachable and assumed to use an equal share.
+	// unreachable. What it has used meanwhile isn't charged when it reports again.
 	PeerTimeout func() time.Duration
+	// RoundTime returns the time in which every reachable peer reports once, and
+	// ReportInterval is the time between two reports of this process. A peer that is
+	// silent for longer than both is assumed to use an equal share.
+	RoundTime      func() time.Duration
+	ReportInterval time.Duration
 	// Members returns the number of instances, including this one.
 	Members func() int
 }
@@ -61,14 +68,16 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	peers    map[string]*peer
-	// reachable is the number of reachable peers. timeout is PeerTimeout when they were last
-	// checked, and nextCheck when that is due again.
-	reachable int
+	// reporting is the number of peers that aren't silent. timeout is PeerTimeout when they were
+	// last checked, and nextCheck when that is due again.
+	reporting int
 	timeout   time.Duration
 	nextCheck time.Time
 	// receivedFrom holds the peers whose totals were received since this process
 	// last sent its own.
 	receivedFrom map[string]bool
+	// received is the number of reports received in that time.
+	received int
 	// idleSince is the time since which no instance is known to have admitted a
 	// request; zero if other instances may have been running.
 	idleSince time.Time
@@ -90,13 +99,18 @@
 	// reportedAt when it last reported to its peers.
 	spendRate  float64
 	reportedAt time.Time
-	// unreachable is the number of unreachable peers at updatedAt.
-	unreachable int
+	// unknown is the number of unknown peers at updatedAt.
+	unknown int
+	// equalShare is an equal share of the rate, and filled the rate that was added to the
+	// balance, both summed up until updatedAt.
+	equalShare, filled float64
 	// reports holds the last report of each peer.
 	reports map[string]*report
-	// peerRate is the sum of the rates of these reports, and reachableRate that of the
-	// reachable peers.
-	peerRate, reachableRate float64
+	// reportingRate is the sum of the rates of the peers that aren't silent.
+	reportingRate float64
+	// sampledRate is the sum of the rates that were reported since this process's last report,
+	// and peerDemand the use per second of all peers that is estimated from them.
+	sampledRate, peerDemand float64
 }
 
 // New returns a Limiter without accounts.
@@ -233,8 +247,8 @@
 }
 
 // refresh updates an account to the current time: it adds the rate and subtracts
-// the assumed use of the peers. The balance is limited to the share of the reachable
-// instances, since the unreachable ones fill their own accounts.
+// the assumed use of the peers. The balance is limited to the share of the instances
+// that report, since the silent ones fill their own accounts.
 func (l *Limiter) refresh(a *account, now time.Time) {
 	elapsed := now.Sub(a.updatedAt).Seconds()
 	if elapsed <= 0 {
@@ -244,15 +258,20 @@
 	a.updatedAt = now
 	rate := a.limit.Rate * (1 + l.Overshoot)
 	members := max(1, l.Members())
-	unreachable := l.unreachablePeers(members, now)
-	use := max(0, a.reachableRate)*elapsed + float64(unreachable)*rate/float64(members)*elapsed
-	if unreachable > a.unreachable && a.balance > 0 {
-		// The newly unreachable peers may each spend an equal share of the balance.
-		use += a.balance * float64(unreachable-a.unreachable) / float64(members)
+	share := rate * elapsed / float64(members)
+	a.equalShare += share
+	unknown := l.unknownPeers(members, now)
+	silent := min(unknown+len(l.peers)-l.reporting, members-1)
+	use := max(0, a.reportingRate)*elapsed + float64(silent)*share
+	if unknown > a.unknown && a.balance > 0 {
+		// The unknown peers may each spend an equal share of the balance.
+		use += a.balance * float64(unknown-a.unknown) / float64(members)
 	}
-	a.unreachable = unreachable
-	limit := l.capacity(a) * float64(members-unreachable) / float64(members)
-	a.balance = min(a.balance+rate*elapsed-use, limit)
+	a.unknown = unknown
+	limit := l.capacity(a) * float64(members-silent) / float64(members)
+	overflow := max(0, a.balance+rate*elapsed-use-limit)
+	a.filled += rate*elapsed - overflow
+	a.balance += rate*elapsed - use - overflow
 }
 
 // Totals returns the cost that this process has admitted since its start, by
@@ -263,11 +282,13 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	connected := l.connected()
-	clear(l.receivedFrom)
 	for _, a := range l.accounts {
 		l.refresh(a, now)
+		l.estimateDemand(a, now)
 		l.resetSpendLimit(a, now, connected)
 	}
+	clear(l.receivedFrom)
+	l.received = 0
 	out := make(map[string]float64, len(l.accounts))
 	for name, a := range l.accounts {
 		if a.admitted != 0 {
@@ -277,19 +298,37 @@
 	return out
 }
 
+// estimateDemand updates the averages of the use per second of this process and of its
+// peers. That of all peers is estimated from those that have reported since the last
+// report: what the others last reported may be from before a change of the demand.
+func (l *Limiter) estimateDemand(a *account, now time.Time) {
+	weight := min(rateWeight, 2/(l.reportsPerRound()+1))
+	if elapsed := now.Sub(a.reportedAt).Seconds(); !a.reportedAt.IsZero() && elapsed > 0 {
+		a.spendRate += weight * (a.spentSinceReport/elapsed - a.spendRate)
+	}
+	if l.received > 0 {
+		mean := a.sampledRate / float64(l.received)
+		a.peerDemand += weight * (mean*float64(l.Members()-1) - a.peerDemand)
+	}
+	a.sampledRate = 0
+}
+
+// reportsPerRound returns the number of reports that this process sends until all reachable
+// peers have had one.
+func (l *Limiter) reportsPerRound() float64 {
+	return max(1, l.RoundTime().Seconds()/l.ReportInterval.Seconds())
+}
+
 // resetSpendLimit sets how much this process may spend until its next report: a part
-// of the balance in proportion to its share of the demand. While too few peers have
-// reported, their use is unknown, and the limit is the unspent part of the last one
-// plus an equal share of the rate.
+// of the balance, and of the rate until then, in proportion to its share of the demand.
+// The peers learn of it within a round, so the balance is spread over the reports of
+// one. While too few peers have reported, their use is unknown, and the limit is the
+// unspent part of the last one plus an equal share of the rate.
 func (l *Limiter) resetSpendLimit(a *account, now time.Time, connected bool) {
 	elapsed := 0.0
 	if !a.reportedAt.IsZero() {
 		elapsed = now.Sub(a.reportedAt).Seconds()
 	}
-	share := l.demandShare(a)
-	if elapsed > 0 {
-		a.spendRate += rateWeight * (a.spentSinceReport/elapsed - a.spendRate)
-	}
 	unspent := a.spendLimit - a.spentSinceReport
 	a.reportedAt = now
 	a.spentSinceReport = 0
@@ -297,16 +336,18 @@
 		a.spendLimit = unspent + a.limit.Rate*elapsed/float64(max(1, l.Members()))
 		return
 	}
-	a.spendLimit = max(0, a.balance) * min(1, overspendFactor*share)
+	part := 1 / l.reportsPerRound()
+	a.spendLimit = (1 - part) * max(min(0, unspent), -max(0, a.spendLimit))
+	if a.balance > 0 {
+		a.spendLimit += (part*a.balance + (1-part)*a.limit.Rate*elapsed) * min(1, (1+part*overspend)*l.demandShare(a))
+	}
 }
 
-// demandShare returns this process's share of a workspace's demand. Its most recent
-// use doesn't count yet, since that of the peers hasn't been reported either. Some
-// demand is assumed at every instance, so that after an idle time no instance
-// claims the whole balance.
+// demandShare returns this process's share of a workspace's demand. Some demand is
+// assumed at every instance, so that after an idle time no instance claims the whole
+// balance.
 func (l *Limiter) demandShare(a *account) float64 {
 	members := float64(max(1, l.Members()))
 	assumed := assumedDemand * a.limit.Rate / members
-	all := a.spendRate + max(0, a.peerRate)
-	return (a.spendRate + assumed) / (all + assumed*members)
+	return (a.spendRate + assumed) / (a.spendRate + a.peerDemand + assumed*members)
 }
--- a/pkg/allowance/allowance_test.go
+++ b/pkg/allowance/allowance_test.go
@@ -24,7 +24,10 @@
 
 // newLimiterWithCredit returns a Limiter whose accounts start with a credit.
 func newLimiterWithCredit(c *clock, members int, credit float64) *Limiter {
-	return New(Options{Credit: credit, Now: c.Now, PeerTimeout: func() time.Duration { return peerTimeout }, Members: func() int { return members }})
+	return New(Options{
+		Credit: credit, Now: c.Now, PeerTimeout: func() time.Duration { return peerTimeout }, RoundTime: func() time.Duration { return reportInterval }, ReportInterval: reportInterval,
+		Members: func() int { return members },
+	})
 }
 
 func workspace(rate, burst float64) routing.Workspace {
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -6,8 +6,8 @@
 type peer struct {
 	boot     uint64
 	lastSeen time.Time
-	// reachable is true if its last report was recent at the last check.
-	reachable bool
+	// reporting is true if its last report was recent at the last check. Otherwise it is silent.
+	reporting bool
 }
 
 // report holds a peer's last reported use of one workspace.
@@ -17,28 +17,43 @@
 	at    time.Time
 	// rate is the moving average of its use per second.
 	rate float64
+	// balance and filled are those of the account after the report.
+	balance, filled float64
 	// assumed is the use that has been subtracted from the balance for the time from at
-	// until since. For the time after that it is rate while the peer is reachable.
+	// until since. For the time after that it is rate while the peer reports, and an equal
+	// share while it is silent.
 	assumed float64
 	since   time.Time
+	// equalShare is the account's equalShare at since.
+	equalShare float64
 }
 
-// settle adds the use that has been assumed until now to assumed.
-func (r *report) settle(now time.Time) {
-	r.assumed += r.rate * now.Sub(r.since).Seconds()
-	r.since = now
+// settle adds the use that has been assumed until now, the time of the account's last
+// update, to that of a peer's report.
+func (a *account) settle(r *report, reporting bool, now time.Time) {
+	if reporting {
+		r.assumed += r.rate * now.Sub(r.since).Seconds()
+	} else {
+		r.assumed += a.equalShare - r.equalShare
+	}
+	r.since, r.equalShare = now, a.equalShare
 }
 
-// unreachablePeers returns the number of unreachable peers. Peers that have not
-// reported since this process started count only once PeerTimeout has passed.
-func (l *Limiter) unreachablePeers(members int, now time.Time) int {
+// unknownPeers returns the number of members that have not reported since this process
+// started. They count only once PeerTimeout has passed.
+func (l *Limiter) unknownPeers(members int, now time.Time) int {
 	if now.Sub(l.startedAt) <= l.timeout {
-		return min(len(l.peers)-l.reachable, members-1)
+		return 0
 	}
-	return max(0, members-1-l.reachable)
+	return max(0, members-1-len(l.peers))
+}
+
+// silentAfter returns the time after its last report from which on a peer is silent.
+func (l *Limiter) silentAfter() time.Duration {
+	return min(l.RoundTime()+l.ReportInterval, l.timeout)
 }
 
-// checkPeers finds the peers that have become unreachable, and drops those that have been
+// checkPeers finds the peers that have become silent, and drops those that have been
 // so for longer than dropPeerAfter. It looks at them only when the next of these times has
 // passed, since it is called for each report of each peer.
 func (l *Limiter) checkPeers(now time.Time) {
@@ -47,6 +62,7 @@
 		return
 	}
 	l.timeout, l.nextCheck = timeout, now.Add(dropPeerAfter)
+	silentAfter := l.silentAfter()
 	for id, p := range l.peers {
 		if p.lastSeen.IsZero() {
 			continue // its first report is being recorded
@@ -54,13 +70,15 @@
 		silent := now.Sub(p.lastSeen)
 		if silent > dropPeerAfter && silent > timeout {
 			l.removePeer(id, p)
+			l.recordUnknown()
 			continue
 		}
-		l.setReachable(id, p, silent <= timeout)
-		if p.reachable {
-			l.checkBy(p.lastSeen.Add(timeout))
-		} else {
+		if silent > silentAfter {
+			l.setSilent(id, p)
 			l.checkBy(p.lastSeen.Add(dropPeerAfter))
+		} else {
+			l.setReporting(id, p)
+			l.checkBy(p.lastSeen.Add(silentAfter))
 		}
 	}
 }
@@ -72,29 +90,52 @@
 	}
 }
 
-// setReachable records whether a peer is reachable. The use of a reachable peer is assumed
-// in the accounts from their last update on.
-func (l *Limiter) setReachable(id string, p *peer, reachable bool) {
-	if p.reachable == reachable {
+// setReporting records that a peer reports. Its use is assumed in the accounts from their
+// last update on.
+func (l *Limiter) setReporting(id string, p *peer) {
+	if p.reporting {
 		return
 	}
-	p.reachable = reachable
-	if reachable {
-		l.reachable++
-	} else {
-		l.reachable--
+	p.reporting = true
+	l.reporting++
+	for _, a := range l.accounts {
+		if r, ok := a.reports[id]; ok {
+			a.settle(r, false, a.updatedAt)
+			a.reportingRate += r.rate
+		}
 	}
+}
+
+// setSilent records that a peer is silent. It may have used an equal share of the balance, and of
+// what was added to it since its last report. This is subtracted from the accounts until it
+// reports again.
+func (l *Limiter) setSilent(id string, p *peer) {
+	if !p.reporting {
+		return
+	}
+	l.stopReporting(id, p)
+	members := float64(max(1, l.Members()))
 	for _, a := range l.accounts {
 		r, ok := a.reports[id]
 		if !ok {
-			continue
+			r = &report{at: p.lastSeen, balance: a.balance, filled: a.filled, since: a.updatedAt, equalShare: a.equalShare}
+			a.reports[id] = r
 		}
-		if reachable {
-			r.since = a.updatedAt
-			a.reachableRate += r.rate
-		} else {
-			r.settle(a.updatedAt)
-			a.reachableRate -= r.rate
+		share := (min(r.balance, l.capacity(a)) + a.filled - r.filled) / members
+		charge := max(0, share-r.assumed)
+		r.assumed += charge
+		a.balance -= charge
+	}
+}
+
+// stopReporting ends the assumption that a peer goes on as it last reported.
+func (l *Limiter) stopReporting(id string, p *peer) {
+	p.reporting = false
+	l.reporting--
+	for _, a := range l.accounts {
+		if r, ok := a.reports[id]; ok {
+			a.settle(r, true, a.updatedAt)
+			a.reportingRate -= r.rate
 		}
 	}
 }
@@ -102,20 +143,27 @@
 // removePeer forgets a peer and its reports. Its equal share stays reserved while it is a
 // member.
 func (l *Limiter) removePeer(id string, p *peer) {
-	l.setReachable(id, p, false)
+	if p.reporting {
+		l.stopReporting(id, p)
+	}
 	for _, a := range l.accounts {
-		if r, ok := a.reports[id]; ok {
-			a.peerRate -= r.rate
-			delete(a.reports, id)
-		}
+		delete(a.reports, id)
 	}
 	delete(l.peers, id)
 }
 
+// recordUnknown records that one more peer is unknown, of which an equal share of the balance
+// has been subtracted already.
+func (l *Limiter) recordUnknown() {
+	for _, a := range l.accounts {
+		a.unknown++
+	}
+}
+
 // connected reports whether enough peers have sent their totals since this process
-// last sent its own: half of those that report in one round.
+// last sent its own: half of those that report in that time.
 func (l *Limiter) connected() bool {
-	others := min(l.Members()-1, reportsPerRound)
+	others := min(l.Members()-1, reportsAwaited)
 	return 2*len(l.receivedFrom) >= others
 }
 
@@ -126,6 +174,7 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	l.receivedFrom[id] = true
+	l.received++
 	l.checkPeers(now)
 	p, known := l.peers[id]
 	initial := initialTotal{}
@@ -133,19 +182,22 @@
 		initial = l.recordPeerStart(id, boot, p, now)
 		p = l.peers[id]
 	}
-	for name, total := range totals {
-		if a, ok := l.accounts[name]; ok {
-			l.refresh(a, now)
-			if initial.isFirst {
-				a.recordInitialTotal(id, total, l.charge(a, initial, total), now)
-			} else {
-				a.recordTotal(id, total, now, p.reachable)
-			}
+	for name, a := range l.accounts {
+		total, used := totals[name]
+		_, reported := a.reports[id]
+		if !used && !reported {
+			continue
+		}
+		l.refresh(a, now)
+		if initial.isFirst {
+			a.recordInitialTotal(id, total, l.charge(a, initial, total), now)
+		} else {
+			a.recordTotal(id, total, now, p.reporting, now.Sub(p.lastSeen) <= l.timeout)
 		}
 	}
 	p.lastSeen = now
-	l.setReachable(id, p, true)
-	l.checkBy(now.Add(l.timeout))
+	l.setReporting(id, p)
+	l.checkBy(now.Add(l.silentAfter()))
 }
 
 // initialTotal describes how the first total after a peer's start is charged.
@@ -187,35 +239,31 @@
 // charge from the balance.
 func (a *account) recordInitialTotal(id string, total, charge float64, now time.Time) {
 	a.balance -= charge
-	a.reports[id] = &report{total: total, at: now, since: now}
+	a.reports[id] = &report{total: total, at: now, balance: a.balance, filled: a.filled, since: now, equalShare: a.equalShare}
 }
 
 // recordTotal records a later total of a peer and corrects the balance by the
 // difference between the assumed and the actual use. After a time in which the peer
 // was unreachable nothing is corrected, since an equal share was reserved for it.
-func (a *account) recordTotal(id string, total float64, now time.Time, reachable bool) {
+func (a *account) recordTotal(id string, total float64, now time.Time, reporting, reachable bool) {
 	r, ok := a.reports[id]
 	if !ok {
 		// The peer's earlier reports had no use of this workspace.
-		r = &report{at: now, since: now}
+		r = &report{at: now, since: now, equalShare: a.equalShare}
 		a.reports[id] = r
 	}
 	used := total - r.total
 	if reachable {
-		r.settle(now)
+		a.settle(r, reporting, now)
 		a.balance += r.assumed - used
 	}
 	if elapsed := now.Sub(r.at).Seconds(); elapsed > 0 {
-		a.setRate(r, max(0, r.rate+rateWeight*(used/elapsed-r.rate)), reachable)
-	}
-	r.total, r.at, r.assumed, r.since = total, now, 0, now
-}
-
-// setRate sets the rate of a peer's report and updates the sums of the rates.
-func (a *account) setRate(r *report, rate float64, reachable bool) {
-	a.peerRate += rate - r.rate
-	if reachable {
-		a.reachableRate += rate - r.rate
+		a.sampledRate += max(0, used/elapsed)
+		rate := max(0, r.rate+rateWeight*(used/elapsed-r.rate))
+		if reporting {
+			a.reportingRate += rate - r.rate
+		}
+		r.rate = rate
 	}
-	r.rate = rate
+	*r = report{total: total, at: now, rate: r.rate, balance: a.balance, filled: a.filled, since: now, equalShare: a.equalShare}
 }
--- a/pkg/allowance/peers_test.go
+++ b/pkg/allowance/peers_test.go
@@ -18,7 +18,7 @@
 		g := NewWithT(t)
 		c := &clock{now: time.Unix(1000, 0)}
 		timeout := time.Second
-		l := New(Options{Overshoot: 0.1, Now: c.Now, PeerTimeout: func() time.Duration { return timeout }, Members: func() int { return 8 }})
+		l := New(Options{Overshoot: 0.1, Now: c.Now, PeerTimeout: func() time.Duration { return timeout }, RoundTime: func() time.Duration { return timeout / 4 }, ReportInterval: reportInterval, Members: func() int { return 8 }})
 		workspaces := []routing.Workspace{workspace(1000, 1000), workspace(5000, 5000)}
 		workspaces[1].Name = "w2"
 		l.Open(workspaces)
@@ -58,24 +58,22 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	l.checkPeers(now)
-	reachable := 0
+	reporting := 0
 	for _, p := range l.peers {
-		g.Expect(p.reachable).To(Equal(now.Sub(p.lastSeen) <= l.PeerTimeout()))
+		g.Expect(p.reporting).To(Equal(now.Sub(p.lastSeen) <= l.silentAfter()))
 		g.Expect(now.Sub(p.lastSeen)).To(BeNumerically("<=", dropPeerAfter))
-		if p.reachable {
-			reachable++
+		if p.reporting {
+			reporting++
 		}
 	}
-	g.Expect(l.reachable).To(Equal(reachable))
+	g.Expect(l.reporting).To(Equal(reporting))
 	for _, a := range l.accounts {
-		all, ofReachable := 0.0, 0.0
+		rate := 0.0
 		for id, r := range a.reports {
-			all += r.rate
-			if l.peers[id].reachable {
-				ofReachable += r.rate
+			if l.peers[id].reporting {
+				rate += r.rate
 			}
 		}
-		g.Expect(a.peerRate).To(BeNumerically("~", all, 1e-6))
-		g.Expect(a.reachableRate).To(BeNumerically("~", ofReachable, 1e-6))
+		g.Expect(a.reportingRate).To(BeNumerically("~", rate, 1e-6))
 	}
 }
--- a/pkg/gossip/members.go
+++ b/pkg/gossip/members.go
@@ -35,9 +35,18 @@
 }
 
 // peerTimeout is PeerTimeout for a caller that holds mu.
-func (n *Node) peerTimeout() time.Duration {
-	rounds := 1 + len(n.peers)/fanout(len(n.peers))
-	return time.Duration(timeoutRounds*rounds) * Interval
+func (n *Node) peerTimeout() time.Duration { return timeoutRounds * n.roundTime() }
+
+// RoundTime returns the time in which every reachable peer sends one message.
+func (n *Node) RoundTime() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roundTime()
+}
+
+// roundTime is RoundTime for a caller that holds mu.
+func (n *Node) roundTime() time.Duration {
+	return time.Duration(1+len(n.peers)/fanout(len(n.peers))) * Interval
 }
 
 // Rank returns this instance's position, from 0, among the ready reachable instances
