--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -35,6 +35,7 @@
 	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/pkg/sharedwatch"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
+	"github.com/medlarsill/medlarsill/pkg/startup"
 	"github.com/medlarsill/medlarsill/pkg/truetime"
 	"github.com/medlarsill/medlarsill/pkg/upstream"
 	"github.com/medlarsill/medlarsill/pkg/usage"
@@ -100,6 +101,7 @@
 	planner          *scaling.Planner
 	listeners        listeners
 	startedAt        time.Time
+	startup          *startup.Timeline
 	stopping         atomic.Bool
 	// stopRequested is closed to request a planned stop.
 	stopRequested chan struct{}
@@ -121,7 +123,7 @@
 	p.scheduler = schedule.New(p.table, slots, time.Now)
 	p.setUpPeers()
 	p.scheduler.Members = p.node.Members
-	p.allowances = allowance.New(allowance.Options{Overshoot: allowanceShare * cfg.AllowanceOver, Credit: creditShare * cfg.AllowanceSlack, Now: time.Now, PeerTimeout: p.node.PeerTimeout, Members: p.node.Members})
+	p.allowances = allowance.New(allowance.Options{Overshoot: allowanceShare * cfg.AllowanceOver, Credit: creditShare * cfg.AllowanceSlack, Now: time.Now, PeerTimeout: p.node.PeerTimeout, RoundTime: p.node.RoundTime, ReportInterval: gossip.Interval, Members: p.node.Members})
 	p.rateLimits = ratelimit.New(ratelimit.Options{Members: p.membership, Metrics: ratelimit.NewMetrics(p.metrics), Log: log, Now: time.Now})
 	p.backoffs = backoff.New(backoff.Options{Metrics: p.metrics, Log: log, Now: time.Now})
 	p.scheduler.Limits = schedule.AllOf{p.backoffs, p.rateLimits}
@@ -135,11 +137,27 @@
 	p.setUpDuties(client)
 	p.forwarded = httpserver.New("", p.gateway.ForwardedHandler())
 	p.forwarded.MaxHeaderBytes = maxForwardedHeader
-	p.ingress = ingress.New(cfg.Listen, p.gateway, p.limits, time.Now)
+	p.startup = startup.New(startup.Options{Steps: p.startupSteps(), Log: log, Now: time.Now})
+	p.ingress = ingress.New(cfg.Listen, p.startup.Handler(p.newStartupGate().Handler(p.gateway)), p.limits, time.Now)
 	p.registerStateMetrics()
 	return p
 }
 
+// startupSteps returns what this process waits for after its start.
+func (p *process) startupSteps() []startup.Step {
+	return []startup.Step{
+		{Name: "configuration", Reached: func() bool { return p.config.Current() != nil }},
+		{Name: "ready", Reached: p.ready},
+		{Name: "members", Reached: func() bool { return p.node.Members() > 1 }},
+		{Name: "half of the peers", Reached: func() bool { return p.node.Members() > 1 && !p.isolated() }},
+	}
+}
+
+// newStartupGate returns the gate that holds requests until the configuration and the endpoints are known.
+func (p *process) newStartupGate() *startup.Gate {
+	return &startup.Gate{Known: p.synced, WithArrival: gateway.WithArrival, Now: time.Now, StartedAt: p.startedAt}
+}
+
 // endpointsChanged places waiting requests and triggers a new capacity plan.
 func (p *process) endpointsChanged() {
 	p.scheduler.PlaceWaiting()
@@ -179,8 +197,11 @@
 }
 
 // ready reports whether this process should receive new requests.
-func (p *process) ready() bool {
-	if p.config.Current() == nil || p.stopping.Load() {
+func (p *process) ready() bool { return p.synced() && !p.stopping.Load() }
+
+// synced reports whether the configuration and the endpoints are known.
+func (p *process) synced() bool {
+	if p.config.Current() == nil {
 		return false
 	}
 	select {
@@ -205,6 +226,7 @@
 		{"endpoints", p.endpointFollower.Run},
 		{"ingress limits", p.ingress.Sweep},
 		{"endpoint connections", p.sweepPool},
+		{"start", p.startup.Run},
 		{"speed log", p.logSpeeds},
 		{"rate limits", p.tickRateLimits},
 		{"poison", p.poison.Run},
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -164,7 +164,7 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{gateway: g, w: w, r: r, arrived: g.Now(), endpointPriority: defaultEndpointPriority, forwarded: f != nil}
+	c := &call{gateway: g, w: w, r: r, arrived: g.arrival(r.Context()), endpointPriority: defaultEndpointPriority, forwarded: f != nil}
 	if !c.pass(g.findRoute, g.findWorkspace, g.readBody, g.checkPoison) {
 		return
 	}
