Store client: a call that lasts longer than its size explains is logged

Cause: a watch of a configuration that took 7.2 s and ended well left no line: calls told how long they took and what was received only when they failed.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -42,6 +42,7 @@
 // newSharedWatches returns the store client, which shares its watches with the peers.
 func (p *process) newSharedWatches(client *http.Client) *sharedwatch.Store {
 	storeClient := platform.NewStore(p.cfg.ObjectAPI, client, func() time.Duration { return p.watches.HoldTime() })
+	storeClient.Log = p.log
 	return sharedwatch.New(sharedwatch.Options{
 		Store: counted.New(storeClient, p.metrics), Metrics: p.metrics, Log: p.log, Now: time.Now,
 		Rank:           func() int { return p.node.ReachableRank() },
