Store client: the whole of a response is bounded by its size

Cause: a response only had to bring 4 KB in each 0.6 s, so that a trickle could hold a watch for 90 s with 600 KB, while a new connection might have brought it at once.

Change: a response must also bring 64 KiB/s on the whole after its first second. If one doesn't, the next ones may have half that rate, down to any below 8 KiB/s, so that a slow link gets everything through; one of 64 KiB or more that keeps the full rate restores it.

--- a/pkg/progress/progress_test.go
+++ b/pkg/progress/progress_test.go
@@ -98,3 +98,60 @@
 		g.Expect(context.Cause(ctx)).NotTo(HaveOccurred())
 	})
 }
+
+// transferAt copies a number of bytes at a rate under a pace. It returns how long that took
+// and the cause of its end.
+func transferAt(p *Pace, bytes, perSecond int) (time.Duration, error) {
+	ctx, guard := Start(context.Background(), 600*time.Millisecond)
+	defer guard.Stop()
+	p.Start(guard)
+	started := time.Now()
+	r := guard.Reader(&constantRate{perSecond: perSecond, left: bytes})
+	received := int64(0)
+	for buf := make([]byte, minBytes); ctx.Err() == nil; {
+		n, err := r.Read(buf)
+		received += int64(n)
+		if err != nil {
+			break
+		}
+	}
+	p.Ended(ctx, received, time.Since(started))
+	return time.Since(started), context.Cause(ctx)
+}
+
+// Guards against a trickle that holds a call for minutes, as each of its parts counts as
+// progress.
+func TestPace_BoundsTransferBySize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d, err := transferAt(NewPace(64<<10), 1<<20, 8<<10)
+		g.Expect(err).To(MatchError(ErrTooSlow))
+		g.Expect(d).To(BeNumerically("<", 2*time.Second))
+		_, err = transferAt(NewPace(64<<10), 1<<20, 70<<10)
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
+
+// Guards against a link that is slower than the pace, over which nothing large can be
+// received at all, and against a pace that stays low for good.
+func TestPace_AdaptsToSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := NewPace(64 << 10)
+		for _, perSecond := range []int{20 << 10, 7 << 10} {
+			attempts := 1
+			for ; attempts < 10; attempts++ {
+				if _, err := transferAt(p, 600_000, perSecond); err == nil {
+					break
+				}
+			}
+			g.Expect(attempts).To(BeNumerically("<=", 5), "at %d bytes per second", perSecond)
+		}
+		_, err := transferAt(p, 1000, 1<<20)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(p.current.Load()).To(BeZero(), "a small transfer doesn't show the rate of the link")
+		_, err = transferAt(p, 600_000, 1<<20)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(p.current.Load()).To(BeEquivalentTo(64 << 10))
+	})
+}
