--- a/cmd/medlarsill-gateway/main.go
+++ b/cmd/medlarsill-gateway/main.go
@@ -7,12 +7,17 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/medlarsill/medlarsill/pkg/logging"
 	"github.com/medlarsill/medlarsill/pkg/settings"
 )
 
 func main() {
+	// Until the process can reload its settings, the signal for that must not end it.
+	early := make(chan os.Signal, 1)
+	signal.Notify(early, syscall.SIGHUP)
 	var cfg settings.Gateway
 	file, code, done := settings.FileFromCommandLine(os.Args[1:], &cfg, os.Stdout, os.Stderr)
 	if done {
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -127,7 +127,7 @@
 	p.rateLimits = ratelimit.New(ratelimit.Options{Members: p.membership, Metrics: ratelimit.NewMetrics(p.metrics), Log: log, Now: time.Now})
 	p.backoffs = backoff.New(backoff.Options{Metrics: p.metrics, Log: log, Now: time.Now})
 	p.scheduler.Limits = schedule.AllOf{p.backoffs, p.rateLimits}
-	p.reach = reach.New(reach.Options{Endpoints: p.table, Connects: p.pool.Accepts, Log: log})
+	p.reach = reach.New(reach.Options{Endpoints: p.table, Connects: p.pool.Holds, Log: log})
 	p.poison = p.newPoisonGuard()
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.allowances,
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -31,6 +31,12 @@
 	// reusable is true if the connection can be reused: the response was read to its
 	// end, or nothing was sent.
 	reusable bool
+	// ctx is the context of the call.
+	ctx context.Context
+	// before is the attempt that stayed open when this one was made; nil if there is none.
+	before *attempt
+	// successor is the outcome of the attempt that has taken over, if one has.
+	successor *outcome
 	// silent is true once the endpoint was silent for longer than the limit.
 	silent bool
 	// firstEvent is when the first event of the answer arrived; zero before. survived is true
@@ -57,7 +63,7 @@
 		stopped := stop()
 		g.Pool.Put(p.Endpoint.Addr, conn, a.reusable && stopped, a.idleConns())
 	}()
-	return a.exchange(ctx)
+	return a.exchangeOrSuccessor(ctx)
 }
 
 // connect returns a connection to the endpoint of the placement. It opens one if a request with
@@ -195,6 +201,7 @@
 	}
 	a.recordBreak(err)
 	a.placement.Endpoint.RecordUnreachable(g.Now())
+	g.Reach.Missed(a.service, a.placement.Endpoint.ID)
 	g.Pool.CloseIdle(a.placement.Endpoint.Addr)
 	g.Log.Debug("failed to receive response from endpoint", "request", a.meta.ID, "endpoint", a.placement.Endpoint.ID, "error", err.Error(), "reused", a.conn.Reused())
 	return outcome{state: stateUnknown, reason: "connection failed", err: err}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -41,8 +41,11 @@
 
 	// maxRuns is the number of endpoints on which the request may run.
 	maxRuns int
-	// charged is true once the call was charged to its workspace's allowance.
-	charged bool
+	// charged is true once the call was charged to its workspace's allowance here, chargedByPeer if
+	// the peer that forwards it has done so.
+	charged, chargedByPeer bool
+	// refundable is true if the charge is returned once a peer has taken the call over.
+	refundable bool
 	// forwarded is true if a peer has forwarded the request, and repeated if it may have run before.
 	forwarded, repeated bool
 
@@ -50,11 +53,11 @@
 	// number of those in which it may have run.
 	attempts     int
 	possibleRuns int
+	// open is the last attempt that stays open while another one is made; nil if there is none.
+	open *attempt
 	// lastSent is when the request was last sent; zero if it wasn't.
 	lastSent time.Time
 	excluded map[string]bool
-	// successor is the slot for the next attempt, if one was taken before the last one ended.
-	successor *schedule.Placement
 	// lastEvent is the id of the latest event that the caller has received.
 	lastEvent string
 	// build is the build at which the stream began, and the only one at which it may go on; 0
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -139,7 +139,7 @@
 
 // chargeAllowance charges the request to its workspace's allowance, unless a peer has done so.
 func (g *Gateway) chargeAllowance(c *call) *refusal {
-	if c.workspace == nil || c.repeated || c.possibleRuns > 0 {
+	if c.workspace == nil || c.chargedByPeer || c.possibleRuns > 0 {
 		return nil
 	}
 	wait, ok := g.Allowance.Take(c.workspace, c.cost(), c.late())
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -117,7 +117,7 @@
 	runs := f.grantRuns()
 	req := f.request(forwarding{
 		configVersion: f.table.Version, timeLeft: f.deadline.Sub(g.Now()), elapsed: g.Now().Sub(f.firstSent),
-		maxRuns: runs, repeated: f.possibleRuns > 0, counted: f.running || f.headerSent,
+		maxRuns: runs, repeated: f.possibleRuns > 0, charged: f.charged && !f.refundable, counted: f.running || f.headerSent,
 	})
 	f.possibleRuns += runs
 	f.lastSent = g.Now()
--- a/pkg/gateway/forwarding.go
+++ b/pkg/gateway/forwarding.go
@@ -16,13 +16,14 @@
 	headerElapsed       = "Medlarsill-Elapsed-Us"
 	headerMaxRuns       = "Medlarsill-Max-Runs"
 	headerRepeated      = "Medlarsill-Repeated"
+	headerCharged       = "Medlarsill-Charged"
 	headerCounted       = "Medlarsill-Counted"
 	// headerNotTaken says, in a response, why the peer has not taken the request over. Another
 	// peer may.
 	headerNotTaken = "Medlarsill-Not-Taken"
 )
 
-var forwardingHeaders = []string{headerConfigVersion, headerTimeLeft, headerElapsed, headerMaxRuns, headerRepeated, headerCounted, headerNotTaken}
+var forwardingHeaders = []string{headerConfigVersion, headerTimeLeft, headerElapsed, headerMaxRuns, headerRepeated, headerCharged, headerCounted, headerNotTaken}
 
 // errForwarding is the error of a request from a peer whose headers aren't valid.
 var errForwarding = eris.New("gateway: invalid forwarded request")
@@ -37,9 +38,9 @@
 	timeLeft, elapsed time.Duration
 	// maxRuns is the number of endpoints on which the peer may run the request.
 	maxRuns int
-	// repeated is true if the request may have run already; it was charged to its allowance then.
-	// counted is true if it is known to have run, and so was counted.
-	repeated, counted bool
+	// repeated is true if the request may have run already, charged if the instance has charged it
+	// to its allowance, and counted if it is known to have run, and so was counted.
+	repeated, charged, counted bool
 }
 
 // set writes the headers.
@@ -49,6 +50,7 @@
 	h.Set(headerElapsed, strconv.FormatInt(f.elapsed.Microseconds(), 10))
 	h.Set(headerMaxRuns, strconv.Itoa(f.maxRuns))
 	h.Set(headerRepeated, strconv.FormatBool(f.repeated))
+	h.Set(headerCharged, strconv.FormatBool(f.charged))
 	h.Set(headerCounted, strconv.FormatBool(f.counted))
 }
 
@@ -59,9 +61,10 @@
 	elapsed, errElapsed := parseMicroseconds(h.Get(headerElapsed))
 	runs, errRuns := strconv.Atoi(h.Get(headerMaxRuns))
 	repeated, errRepeated := strconv.ParseBool(h.Get(headerRepeated))
+	charged, errCharged := strconv.ParseBool(h.Get(headerCharged))
 	counted, errCounted := strconv.ParseBool(h.Get(headerCounted))
 	removeForwarding(h)
-	for _, err := range []error{errConfig, errLeft, errElapsed, errRuns, errRepeated, errCounted} {
+	for _, err := range []error{errConfig, errLeft, errElapsed, errRuns, errRepeated, errCharged, errCounted} {
 		if err != nil {
 			return forwarding{}, eris.Wrap(errForwarding, err.Error())
 		}
@@ -69,7 +72,7 @@
 	if runs < 1 {
 		return forwarding{}, eris.Wrap(errForwarding, "no run left")
 	}
-	return forwarding{configVersion: config, timeLeft: left, elapsed: elapsed, maxRuns: runs, repeated: repeated, counted: counted}, nil
+	return forwarding{configVersion: config, timeLeft: left, elapsed: elapsed, maxRuns: runs, repeated: repeated, charged: charged, counted: counted}, nil
 }
 
 // removeForwarding removes the headers.
@@ -139,6 +142,7 @@
 	c.firstSent = c.arrived.Add(-f.elapsed)
 	c.maxRuns = min(c.maxRuns, f.maxRuns)
 	c.repeated = f.repeated
+	c.chargedByPeer = f.charged
 	c.running = f.counted
 	if limit := c.arrived.Add(f.timeLeft); limit.Before(c.deadline) {
 		c.deadline = limit
--- a/pkg/gateway/forwarding_test.go
+++ b/pkg/gateway/forwarding_test.go
@@ -11,7 +11,7 @@
 
 func TestForwarding_SurvivesTheWay(t *testing.T) {
 	g := NewWithT(t)
-	told := forwarding{configVersion: 7, timeLeft: 1500 * time.Millisecond, elapsed: 20 * time.Microsecond, maxRuns: 2, repeated: true, counted: true}
+	told := forwarding{configVersion: 7, timeLeft: 1500 * time.Millisecond, elapsed: 20 * time.Microsecond, maxRuns: 2, repeated: true, charged: true, counted: true}
 	h := http.Header{"X-Model": {"m"}}
 	told.set(h)
 	got, err := takeForwarding(h)
@@ -26,7 +26,7 @@
 	for _, change := range [][2]string{
 		{headerConfigVersion, "-1"}, {headerConfigVersion, ""}, {headerTimeLeft, "-5"}, {headerTimeLeft, "1e9"}, {headerTimeLeft, strings.Repeat("9", 30)},
 		{headerElapsed, ""}, {headerElapsed, "9223372036854775807"}, {headerMaxRuns, "0"}, {headerMaxRuns, "-1"}, {headerMaxRuns, "many"},
-		{headerRepeated, ""}, {headerCounted, "perhaps"},
+		{headerRepeated, ""}, {headerCharged, "2"}, {headerCounted, "perhaps"},
 	} {
 		g := NewWithT(t)
 		h := http.Header{}
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -84,6 +84,7 @@
 
 // deliver writes an endpoint's response to the caller.
 func (c *call) deliver(p *bufferedResponse) {
+	c.takeOver()
 	copyHeader(c.w.Header(), p.header)
 	c.w.WriteHeader(p.status)
 	c.headerSent = true
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -68,11 +68,10 @@
 // run attempts the request until it has a final response or may not be retried.
 func (c *call) run(ctx context.Context) {
 	defer c.endProbe()
-	defer c.endSuccessor()
 	g := c.gateway
 	last := outcome{state: stateUnsent}
 	for {
-		p, err := c.place(ctx)
+		p, err := g.Placer.Place(ctx, c.placementRequest())
 		if err != nil {
 			c.failPlacement(ctx, err, last)
 			return
@@ -86,20 +85,25 @@
 		if last.done {
 			return
 		}
-		c.exclude(p.Endpoint.ID)
-		g.Log.Info("attempt failed", "request", c.meta.ID, "endpoint", p.Endpoint.ID, "state", last.state.String(),
-			"reason", last.reason, "error", last.errorText(), "after_send_ms", c.sinceSent().Milliseconds(), "attempt", c.attempts, "left_ms", c.deadline.Sub(g.Now()).Milliseconds(),
-			"last_event", c.lastEvent, "resumes", c.meta.Resumes, "version", p.Endpoint.Info().Version, "running", p.Endpoint.TotalLoad().Running, "expected_ms", p.Expected.Milliseconds(), "parts", c.sharedParts(), "content", c.content().Hash(), g.KnownState())
+		c.recordFailedAttempt(p, last)
 		if last.unreached && g.Reach.CutOff(c.service) && c.forwardAdmitted(ctx) {
 			return
 		}
-		if ctx.Err() != nil || c.successor == nil && !c.mayRetry(last) {
+		if ctx.Err() != nil || !c.mayRetry(last) {
 			c.finish(ctx, last)
 			return
 		}
 	}
 }
 
+// recordFailedAttempt logs an attempt that failed, and keeps further ones from its endpoint.
+func (c *call) recordFailedAttempt(p *schedule.Placement, last outcome) {
+	c.exclude(p.Endpoint.ID)
+	c.gateway.Log.Info("attempt failed", "request", c.meta.ID, "endpoint", p.Endpoint.ID, "state", last.state.String(),
+		"reason", last.reason, "error", last.errorText(), "after_send_ms", c.sinceSent().Milliseconds(), "attempt", c.attempts, "left_ms", c.deadline.Sub(c.gateway.Now()).Milliseconds(),
+		"last_event", c.lastEvent, "resumes", c.meta.Resumes, "version", p.Endpoint.Info().Version, "running", p.Endpoint.TotalLoad().Running, "expected_ms", p.Expected.Milliseconds(), "parts", c.sharedParts(), "content", c.content().Hash(), c.gateway.KnownState())
+}
+
 // mayRetry reports whether the request may be sent again, and if so deducts the
 // retry from the budget.
 func (c *call) mayRetry(last outcome) bool {
@@ -143,10 +147,10 @@
 // forwardAdmitted is forward for a call that the allowance may have admitted. If it has not run
 // here, a peer that takes it over charges it.
 func (c *call) forwardAdmitted(ctx context.Context) (done bool) {
-	refund := c.possibleRuns == 0
+	c.refundable = c.possibleRuns == 0
 	done = true // if forwarding ends the call by a panic, too
 	defer func() {
-		if refund && (done || c.possibleRuns > 0) {
+		if c.refundable && (done || c.possibleRuns > 0) {
 			c.refund()
 		}
 	}()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -65,6 +65,7 @@
 	if !a.recordBuild() {
 		return false
 	}
+	a.takeOver()
 	a.startStream(resp)
 	a.markRunning()
 	a.recordEvent()
--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -11,9 +11,8 @@
 // for another one again.
 const successorInterval = 250 * time.Millisecond
 
-// limitSilence limits the wait for more of the response to d. After it, the attempt ends once
-// another one is permitted and has a slot; until then it goes on waiting, as the endpoint may be
-// sound.
+// limitSilence limits the wait for more of the response to d. After it, a successor is tried on
+// another endpoint while this attempt stays open: the silent endpoint may be sound.
 func (a *attempt) limitSilence(d time.Duration) {
 	// An error shows in the next read.
 	_ = a.conn.SetReadLimit(a.gateway.Now().Add(d), a.endSilence)
@@ -26,63 +25,80 @@
 }
 
 // endSilence is called when the wait for more of the response has reached its limit. It returns
-// the time at which to decide again, or the zero time if another attempt is ready to take over.
+// the time at which to decide again, or the zero time if a successor has taken over.
 func (a *attempt) endSilence() time.Time {
 	if !a.silent {
 		a.silent = true
 		a.placement.Endpoint.RecordUnreachable(a.gateway.Now())
 	}
-	if a.findSuccessor() {
+	if p := a.findSuccessor(); p != nil && a.trySuccessor(p) {
 		return time.Time{}
 	}
 	return a.gateway.Now().Add(successorInterval)
 }
 
 // findSuccessor takes a slot for another attempt of the call, and deducts it from the retry
-// budget. It reports whether it did.
-func (a *attempt) findSuccessor() bool {
+// budget. It returns nil if no attempt is permitted or no slot is free.
+func (a *attempt) findSuccessor() *schedule.Placement {
 	g := a.gateway
-	if a.deadline.Sub(g.Now()) < minTimeLeft || !a.mayRunAgain() || !g.Retries.Available(a.service) {
-		return false
+	if a.ctx.Err() != nil || a.deadline.Sub(g.Now()) < minTimeLeft || !a.mayRunAgain() || !g.Retries.Available(a.service) {
+		return nil
 	}
 	a.exclude(a.placement.Endpoint.ID)
 	p := g.Placer.TryPlace(a.placementRequest())
 	if p == nil {
-		return false
+		return nil
 	}
 	if !g.Retries.Allow(a.service) {
 		p.End()
-		return false
+		return nil
 	}
-	a.successor = p
-	return true
+	return p
+}
+
+// trySuccessor makes another attempt of the call. It reports whether that one has taken over:
+// the caller has got some of the response from it.
+func (a *attempt) trySuccessor(p *schedule.Placement) bool {
+	a.before = a.call.open
+	a.call.open = a
+	last := a.call.attempt(a.ctx, p)
+	if !last.done {
+		a.recordFailedAttempt(p, last)
+	}
+	if a.call.open == nil {
+		a.successor = &last
+		return true
+	}
+	a.call.open = a.before
+	return false
+}
+
+// takeOver ends the attempts before this one that are still open. It is called before the caller
+// gets some of the response from this one, so that two endpoints don't go on with a request.
+func (c *call) takeOver() {
+	for a := c.open; a != nil; a = a.before {
+		a.conn.Close()
+	}
+	c.open = nil
 }
 
 // mayRunAgain reports whether a request that may have run may be sent to another endpoint, as
 // far as it depends on the request.
 func (c *call) mayRunAgain() bool {
-	if !c.resumable() {
-		return false
-	}
-	return c.route.Repeatable() && c.possibleRuns < c.maxRuns && c.poisoned() == "" && c.gateway.Poison.MayResend(c.traits)
+	return c.resumable() && c.route.Repeatable() && c.possibleRuns < c.maxRuns && c.poisoned() == "" && c.gateway.Poison.MayResend(c.traits)
 }
 
 // resumable reports whether the response can go on elsewhere: a stream whose events have no ids
 // can't, once it has begun.
 func (c *call) resumable() bool { return !c.headerSent || c.lastEvent != "" }
 
-// place returns the slot for the next attempt: the one that was taken for it, or a new one.
-func (c *call) place(ctx context.Context) (*schedule.Placement, error) {
-	if p := c.successor; p != nil {
-		c.successor = nil
-		return p, nil
-	}
-	return c.gateway.Placer.Place(ctx, c.placementRequest())
-}
-
-// endSuccessor releases a slot that was taken for an attempt that isn't made.
-func (c *call) endSuccessor() {
-	if c.successor != nil {
-		c.successor.End()
+// exchangeOrSuccessor sends the request and relays the response. It returns the outcome of the
+// successor if one has taken over.
+func (a *attempt) exchangeOrSuccessor(ctx context.Context) outcome {
+	a.ctx = ctx
+	last := a.exchange(ctx)
+	if a.successor != nil {
+		return *a.successor
 	}
+	return last
 }
--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -32,7 +32,7 @@
 // Options holds the dependencies of a Tracker. All fields are required.
 type Options struct {
 	Endpoints Endpoints
-	// Connects reports whether a connection to an address can be opened.
+	// Connects reports whether a connection to an address can be opened, and stays open.
 	Connects func(addr string) bool
 	Log      *slog.Logger
 }
@@ -63,7 +63,8 @@
 	}
 }
 
-// Missed records that an endpoint of a service could not be reached.
+// Missed records that an endpoint of a service could not be reached, or ended a connection without
+// an answer.
 func (t *Tracker) Missed(service, id string) {
 	enough := min(cutOffAfter, len(t.Endpoints.Service(service)))
 	t.mu.Lock()
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +25,8 @@
 	keepAlivePeriod = time.Second
 	// keepAliveProbes is the number of unanswered probes that ends a connection.
 	keepAliveProbes = int(silenceLimit/keepAlivePeriod) - 1
+	// holdTime is how long a connection must stay open for Pool.Holds.
+	holdTime = 30 * time.Millisecond
 	// defaultIdleTimeout is assumed for endpoints that send no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
 	// idleTimeoutShare is the fraction of the endpoint's idle timeout after which a
@@ -132,6 +135,23 @@
 // Accepts reports whether a connection can be opened to an address.
 func (p *Pool) Accepts(addr string) bool { return p.tryOpen(addr) == nil }
 
+// Holds reports whether a connection can be opened to an address and stays open for a moment:
+// something on the way may accept connections and reset them.
+func (p *Pool) Holds(addr string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), p.DialTimeout)
+	defer cancel()
+	c, err := p.open(ctx, addr)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	if err := c.SetReadDeadline(time.Now().Add(holdTime)); err != nil {
+		return false
+	}
+	_, err = c.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // tryOpen opens a connection and closes it.
 func (p *Pool) tryOpen(addr string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), p.DialTimeout)
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -139,6 +139,28 @@
 	}
 }
 
+// Guards against an endpoint that counts as reached since something on the way accepts
+// connections and resets them.
+func TestPool_HoldsOnlyIfConnectionStaysOpen(t *testing.T) {
+	g := NewWithT(t)
+	held := serve(t, func(int64, net.Conn) bool { return true })
+	g.Expect(newPool(time.Now).Holds(held.addr())).To(BeTrue())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.Close()
+		}
+	}()
+	g.Expect(newPool(time.Now).Holds(l.Addr().String())).To(BeFalse())
+	l.Close()
+	g.Expect(newPool(time.Now).Holds(l.Addr().String())).To(BeFalse())
+}
+
 func TestPool_DialFailureIsErrNotSent(t *testing.T) {
 	g := NewWithT(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
