--- a/cmd/medlarsill-gateway/soak_test.go
+++ b/cmd/medlarsill-gateway/soak_test.go
@@ -53,7 +53,6 @@
 	endpoints []*soakEndpoint
 	gateways  []*soakGateway
 	version   int
-	deadline  time.Time
 
 	mu sync.Mutex
 	// runs counts by request how often endpoints began to run it.
