progress: a guard is safe for the sender and the reader of a call together

Cause: net/http may still read a request's body to its end when its response has begun; the guard was meant for one goroutine at a time. A data race of the counted bytes, on too (2 reports of -race in two process tests).

Change: a mutex.

Measured: TestGuard_SenderAndReaderAtTheSameTime fails with -race before; without -race it can't fail.

--- a/pkg/progress/progress.go
+++ b/pkg/progress/progress.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 	"io"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,12 +23,15 @@
 	ErrTooSlow = eris.New("progress: transfer too slow")
 )
 
-// Guard cancels a call that makes no progress within a limit. It is used by one goroutine
-// at a time: by the sender of the request until the response begins, then by its reader.
+// Guard cancels a call that makes no progress within a limit. It is safe for concurrent use:
+// net/http may still read a request's body to its end when the response has begun.
 type Guard struct {
-	timer  *time.Timer
 	cancel context.CancelCauseFunc
-	limit  time.Duration
+
+	// mu protects the fields below.
+	mu    sync.Mutex
+	timer *time.Timer
+	limit time.Duration
 	// pending is the number of bytes since the timer was last reset.
 	pending int
 	// perSecond is the rate that the whole transfer must keep from rateFrom on, or 0, and
@@ -37,7 +40,7 @@
 	rateFrom  time.Time
 	total     int64
 	// tooSlow is true if the timer runs until the transfer would lag behind its rate.
-	tooSlow atomic.Bool
+	tooSlow bool
 }
 
 // Start returns a guard and the context that it cancels. The call must begin to make
@@ -45,31 +48,42 @@
 func Start(ctx context.Context, limit time.Duration) (context.Context, *Guard) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	g := &Guard{cancel: cancel, limit: limit}
-	g.timer = time.AfterFunc(limit, func() {
-		if g.tooSlow.Load() {
-			cancel(ErrTooSlow)
-			return
-		}
-		cancel(ErrStalled)
-	})
+	g.timer = time.AfterFunc(limit, g.expire)
 	return ctx, g
 }
 
+// expire cancels the call.
+func (g *Guard) expire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.tooSlow {
+		g.cancel(ErrTooSlow)
+		return
+	}
+	g.cancel(ErrStalled)
+}
+
 // limitRate also cancels the call once the bytes from now on are fewer than perSecond for
 // each second after a time of grace; 0 stands for any rate.
 func (g *Guard) limitRate(grace time.Duration, perSecond int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.total, g.perSecond, g.rateFrom = 0, perSecond, time.Now().Add(grace)
 	g.reset()
 }
 
 // Next begins the next part of the call, which must make progress within limit.
 func (g *Guard) Next(limit time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.limit = limit
 	g.reset()
 }
 
 // Stop ends the guard and its context.
 func (g *Guard) Stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.timer.Stop()
 	g.cancel(nil)
 }
@@ -77,6 +91,7 @@
 // Reader returns a reader whose bytes count as the call's progress.
 func (g *Guard) Reader(r io.Reader) io.Reader { return &reader{r: r, guard: g} }
 
+// reset starts the timer anew. The caller must hold mu.
 func (g *Guard) reset() {
 	g.pending = 0
 	limit := g.limit
@@ -84,12 +99,14 @@
 		paid := time.Duration(float64(g.total) / float64(g.perSecond) * float64(time.Second))
 		limit = max(0, min(limit, time.Until(g.rateFrom.Add(paid))))
 	}
-	g.tooSlow.Store(limit < g.limit)
+	g.tooSlow = limit < g.limit
 	g.timer.Reset(limit)
 }
 
 // add counts transferred bytes.
 func (g *Guard) add(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.pending += n
 	g.total += int64(n)
 	if g.pending >= minBytes {
--- a/pkg/progress/progress_test.go
+++ b/pkg/progress/progress_test.go
@@ -1,8 +1,10 @@
 package progress
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,3 +157,19 @@
 		g.Expect(p.current.Load()).To(BeEquivalentTo(64 << 10))
 	})
 }
+
+// Guards against a data race of the sender of a request's body, which net/http may still read
+// when the response has begun, with the reader of the response. Only -race sees it.
+func TestGuard_SenderAndReaderAtTheSameTime(t *testing.T) {
+	g := NewWithT(t)
+	ctx, guard := Start(context.Background(), time.Minute)
+	defer guard.Stop()
+	var transfers sync.WaitGroup
+	for range 2 {
+		transfers.Go(func() { _, _ = io.Copy(io.Discard, guard.Reader(bytes.NewReader(make([]byte, 1<<20)))) })
+	}
+	guard.Next(time.Minute)
+	NewPace(64 << 10).Start(guard)
+	transfers.Wait()
+	g.Expect(ctx.Err()).NotTo(HaveOccurred())
+}
