Soak: what speaks the platform's names stands in platform/

Cause: TestPlatformNamesAreUsedOnlyInThisFolder failed: the soak's endpoints used the platform's headers. Change: platformtest.Runner and the configuration of all kinds of routes; no behaviour of the soak changes.

--- a/cmd/medlarsill-gateway/soak_test.go
+++ b/cmd/medlarsill-gateway/soak_test.go
@@ -34,7 +34,6 @@
 	soakGateways  = 4
 	soakEndpoints = 6
 	soakClients   = 24
-	soakEvents    = 10
 	defaultSoak   = 12 * time.Second
 	// soakDeadline is the time that clients wait for an answer.
 	soakDeadline = 8 * time.Second
@@ -224,59 +223,26 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		s.g.Expect(err).NotTo(HaveOccurred())
 		link := &soakLink{recordingListener: &recordingListener{TCPListener: l.(*net.TCPListener), conns: make(map[*net.TCPConn]bool)}}
-		link.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.answer(e, w, r) })}
+		link.server = &http.Server{Handler: platformtest.Runner{ID: id, Began: s.began}}
 		go func() { _ = link.server.Serve(link.recordingListener) }()
 		t.Cleanup(func() { link.server.Close() })
 		e.links = append(e.links, link)
 	}
-	s.store.Put("servers", id, fmt.Sprintf(`{"service":"s1","address":%q,"zone":"dc-a","slots":64,"state":"ready","sequence":1,"born":1700000000000,"version":"v1"}`, e.links[0].Addr().String()))
+	s.store.Put("servers", id, platformtest.RunnerRegistration(e.links[0].Addr().String()))
 	return e
 }
 
-// answer runs a request at an endpoint.
-func (s *soak) answer(e *soakEndpoint, w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	id := r.Header.Get("X-Request-Id")
-	h := w.Header()
-	h.Set("X-Request-Id", id)
-	if r.Header.Get("X-Expect-Instance") != e.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	h.Set("X-Response-Stamp", "stamp-of-"+e.id)
+// began counts a run of a request.
+func (s *soak) began(id string) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.runs[id]++
-	s.mu.Unlock()
-	if !strings.HasPrefix(r.URL.Path, "/stream/") {
-		time.Sleep(time.Duration(20+len(id)%7*30) * time.Millisecond)
-		fmt.Fprintf(w, "answer to %s", id)
-		return
-	}
-	h.Set("Content-Type", "text/event-stream")
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for n := last + 1; n <= soakEvents; n++ {
-		fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n)
-		_ = http.NewResponseController(w).Flush()
-		time.Sleep(25 * time.Millisecond)
-	}
 }
 
 // configure writes the next version of the configuration, with a number of further routes.
 func (s *soak) configure(routes int) {
 	s.version++
-	var b strings.Builder
-	for n := range routes {
-		fmt.Fprintf(&b, `{"name":"idle-%d","host":"h%d.example","pathPrefix":"/idle%d/%d/","kind":"idempotent","timeoutMs":5000,"targetLatencyMs":500,"service":"s1","maxAttempts":2},`, n, n%97, n, s.version)
-	}
-	route := func(name, kind string, attempts int) string {
-		return fmt.Sprintf(`{"name":%q,"host":"a.example","pathPrefix":"/%s/","kind":%q,"timeoutMs":%d,"targetLatencyMs":300,"gapTargetMs":200,"service":"s1","maxAttempts":%d,"streamResume":%t}`,
-			name, name, kind, soakDeadline.Milliseconds(), attempts, kind == "streaming")
-	}
-	s.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[%s%s,%s,%s],"services":[{"name":"s1","maxConns":400,"engine":{"slots":64,"kvTokens":100000,"stride":5},
- "scaling":{"min":1,"max":4,"bootS":1,"spotPrice":0.2,"zonePrices":{"dc-a":1}}}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"w1","apiKeys":[%q],"ratePerS":1000000,"burst":1000000}]}`,
-		s.version, b.String(), route("plain", "idempotent", 2), route("once", "non_idempotent", 1), route("stream", "streaming", 2), platformtest.Key))
+	s.store.Put("config", "main", platformtest.ConfigOfAllKinds(s.version, routes, soakDeadline))
 }
 
 // newGateway returns a gateway that reaches the endpoints over links of its own.
@@ -412,7 +378,7 @@
 }
 
 // kinds holds the first part of the paths of the clients' requests.
-var kinds = []string{"plain", "once", "stream"}
+var kinds = []string{platformtest.PlainPath, platformtest.OncePath, platformtest.StreamPath}
 
 // client sends requests over kept connections until stop is closed.
 func (s *soak) client(n int, stop chan struct{}) {
@@ -438,7 +404,7 @@
 // request sends one request and reads its answer.
 func (s *soak) request(c *http.Client, gw *soakGateway, kind, id string) soakAnswer {
 	a := soakAnswer{id: id, kind: kind, gateway: gw.index, sent: time.Now()}
-	req, err := http.NewRequest(http.MethodPost, "http://"+gw.settings.Listen+"/"+kind+"/x", strings.NewReader("body of "+id))
+	req, err := http.NewRequest(http.MethodPost, "http://"+gw.settings.Listen+kind+"x", strings.NewReader("body of "+id))
 	if err != nil {
 		a.err = err
 		return a
@@ -453,24 +419,12 @@
 		a.status = resp.StatusCode
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
-		a.whole = err == nil && string(body) == expectedBody(kind, id)
+		a.whole = err == nil && string(body) == platformtest.RunnerAnswer(kind, id)
 	}
 	a.err, a.ended = err, time.Now()
 	return a
 }
 
-// expectedBody returns the whole body of the answer to a request.
-func expectedBody(kind, id string) string {
-	if kind != "stream" {
-		return "answer to " + id
-	}
-	var b strings.Builder
-	for n := 1; n <= soakEvents; n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", n, n)
-	}
-	return b.String()
-}
-
 // fault begins one fault, which ends by itself. It returns once the next one may begin.
 func (s *soak) fault(running *sync.WaitGroup, busy *atomic.Int32) {
 	gw := s.gateways[s.random.IntN(len(s.gateways))]
@@ -638,14 +592,14 @@
 	for _, a := range s.answers {
 		runs := s.runs[a.id]
 		counts[fmt.Sprintf("%s %d whole=%t", a.kind, a.status, a.whole)]++
-		if a.kind == "once" {
+		if a.kind == platformtest.OncePath {
 			g.Expect(runs).To(BeNumerically("<=", 1), "%v", a)
 		}
 		switch a.status {
 		case http.StatusOK:
 			g.Expect(a.whole || a.err != nil && s.excused(a)).To(BeTrue(), "a success that isn't whole: %v", a)
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-			if a.kind == "once" {
+			if a.kind == platformtest.OncePath {
 				g.Expect(runs).To(BeZero(), "refused, but ran: %v", a)
 			}
 		case 0:
