A timeout before the answer began is not taken for a broken connection

Cause: pkg/upstream kept only the text of what ended a request, so that the gateway's rule "a timeout isn't a break" held for answers under way only. A request that was given up for lack of an answer was evidence against itself if its endpoint ended within the next moments.

Change: the error wraps its cause.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -75,14 +76,14 @@
 		go func() { written <- c.write(req) }()
 	} else if err := c.write(req); err != nil {
 		c.noReuse = true
-		return nil, eris.Wrap(ErrUnknown, err.Error())
+		return nil, unknownError(err)
 	} else {
 		written <- nil
 	}
 	resp, err := c.read(req, isOwn)
 	if err != nil {
 		c.noReuse = true
-		return nil, eris.Wrap(ErrUnknown, err.Error())
+		return nil, unknownError(err)
 	}
 	select {
 	case err := <-written:
@@ -96,6 +97,9 @@
 	return resp, nil
 }
 
+// unknownError wraps ErrUnknown and its cause, so that a timeout can be told from other causes.
+func unknownError(cause error) error { return fmt.Errorf("%w: %w", ErrUnknown, cause) }
+
 func (c *Conn) write(req *http.Request) error {
 	bw := bufio.NewWriterSize(c.Conn, bufferBytes)
 	if err := req.Write(bw); err != nil {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -139,6 +140,24 @@
 	}
 }
 
+// Guards against a request that timed out and is taken for one whose endpoint broke the connection.
+func TestConn_TimeoutStaysRecognizable(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int64, c net.Conn) bool {
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	})
+	c, err := newPool(time.Now).Get(context.Background(), s.addr())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	g.Expect(c.SetReadDeadline(time.Unix(1, 0))).To(Succeed())
+	_, err = c.Do(newRequest(), acceptAny)
+	g.Expect(err).To(MatchError(ErrUnknown))
+	var netErr net.Error
+	g.Expect(errors.As(err, &netErr)).To(BeTrue())
+	g.Expect(netErr.Timeout()).To(BeTrue())
+}
+
 func TestPool_DialFailureIsErrNotSent(t *testing.T) {
 	g := NewWithT(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
