An odd lease record ends no duty and no pause

After a record with the largest possible fencing token the next one was 0, and its writer wrote to the store without a pause.

Cause: a record that can't be decoded counted as a failed read; fencing tokens were not bounded.

Change: an invalid record, or one with a token over 2^53, is logged once and counts as that of an unknown holder: it is replaced once it hasn't changed for the lease's duration. The tokens known before go on to count.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -29,12 +29,19 @@
 	callTimeoutDivisor = 6
 )
 
-// Errors of Do.
+// Errors of Do, and of reading a lease.
 var (
 	// ErrNotHeld means that the lease isn't held for long enough; the action was not run.
 	ErrNotHeld = eris.New("lease: not held")
+	// errInvalidRecord means that the stored lease can't be decoded, or has an impossible
+	// fencing token.
+	errInvalidRecord = eris.New("lease: invalid record")
 )
 
+// maxFence is the largest possible fencing token: larger ones aren't exact as floating point, and
+// leave too few.
+const maxFence = 1 << 53
+
 // Options configures a Lease. All fields but FirstStart are required.
 type Options struct {
 	Config
@@ -57,6 +64,8 @@
 	mu          sync.Mutex
 	machine     *Machine
 	loggedFence uint64
+	// loggedInvalid is the version of the last invalid record that was logged.
+	loggedInvalid uint64
 	// hasRead is true once the lease has been read.
 	hasRead bool
 }
@@ -154,6 +163,10 @@
 	s, err := load(ctx, l.Store, l.key())
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if errors.Is(err, errInvalidRecord) {
+		l.logInvalid(s.Version, err)
+		err = nil // as if it were of an unknown holder
+	}
 	if err != nil {
 		l.machine.OnUnknown(l.Now())
 		return
@@ -161,7 +174,17 @@
 	l.machine.OnRead(l.Now(), s)
 }
 
-// load reads a lease. It returns version 0 if the object doesn't exist.
+// logInvalid logs an invalid record once. The caller holds the lock.
+func (l *Lease) logInvalid(version uint64, err error) {
+	if l.loggedInvalid == version {
+		return
+	}
+	l.loggedInvalid = version
+	l.Log.Error("invalid lease; it counts as held until it expires", "duty", l.Duty, "store_version", version, "error", err.Error())
+}
+
+// load reads a lease. It returns version 0 if the object doesn't exist, and errInvalidRecord
+// with the object's version and an empty record if it is invalid.
 func load(ctx context.Context, store objectstore.Store, key string) (Stored, error) {
 	o, err := store.Get(ctx, key)
 	if errors.Is(err, objectstore.ErrNotFound) {
@@ -171,8 +194,13 @@
 		return Stored{}, err
 	}
 	s := Stored{Version: o.Version}
-	err = json.Unmarshal(o.Value, &s.Record)
-	return s, err
+	if err := json.Unmarshal(o.Value, &s.Record); err != nil {
+		return Stored{Version: o.Version}, eris.Wrapf(errInvalidRecord, "%.200s", err.Error())
+	}
+	if s.Fence > maxFence {
+		return Stored{Version: o.Version}, eris.Wrapf(errInvalidRecord, "fence %d", s.Fence)
+	}
+	return s, nil
 }
 
 // write performs a conditional write and passes the result to the machine.
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -150,3 +151,48 @@
 		running.Wait()
 	})
 }
+
+// Guards against duties that nobody performs any more after another writer has replaced the
+// lease by something that can't be decoded, or by a fencing token that leaves none larger.
+func TestLease_IsAcquiredAgainAfterOddRecord(t *testing.T) {
+	for name, odd := range map[string]string{
+		"nested deep":            strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+		"no JSON":                "nonsense",
+		"released, but invalid":  `{"released":true,"fence":-1}`,
+		"fence beyond 64 bits":   `{"holder":"x","fence":18446744073709551616}`,
+		"fence is too large":     `{"holder":"x","fence":1e400}`,
+		"the largest fence":      `{"holder":"x","fence":18446744073709551615,"write_id":"y"}`,
+		"almost the largest one": `{"holder":"x","fence":18446744073709551614,"write_id":"y"}`,
+		"empty":                  ``,
+		"null":                   `null`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				store := memstore.New()
+				a, b := newLease(store, "a"), newLease(store, "bb")
+				ctx, stop := context.WithCancel(t.Context())
+				var running sync.WaitGroup
+				running.Go(func() { _ = a.Run(ctx) })
+				time.Sleep(time.Minute)
+				running.Go(func() { _ = b.Run(ctx) })
+				time.Sleep(time.Minute)
+				o, err := store.Get(ctx, a.key())
+				g.Expect(err).NotTo(HaveOccurred())
+				_, err = store.Update(ctx, a.key(), []byte(odd), o.Version)
+				g.Expect(err).NotTo(HaveOccurred())
+				time.Sleep(DefaultDuration / 2)
+				_, heldByB := b.Held()
+				g.Expect(heldByB).To(BeFalse(), "the holder may still act")
+				time.Sleep(3 * DefaultDuration)
+				fenceA, heldByA := a.Held()
+				fenceB, heldByB := b.Held()
+				g.Expect([]bool{heldByA, heldByB}).To(ContainElement(true))
+				g.Expect(heldByA && heldByB).To(BeFalse())
+				g.Expect(max(fenceA, fenceB)).To(BeNumerically(">", 1), "larger than that of the last holder")
+				stop()
+				running.Wait()
+			})
+		})
+	}
+}
