Odd registrations of instances are replaced or removed

What could be seen: an instance whose registration another writer had replaced by something that can't be decoded was never registered again: it tried to create the object every second, which failed, and logged that it had registered. Odd ones of no instance stayed in the store, each with a log line every eight seconds at every instance. One without an address counted as a member.

Cause: the versions of registrations that can't be decoded were dropped, so that they could be neither replaced nor removed.

Change: their versions are kept. An instance replaces its own, and the holder of the duties removes those of others as it does silent ones. Each is logged once. A registration without a usable address is invalid.

--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -428,6 +429,44 @@
 	g.Expect(out.String()).To(ContainSubstring(`level=INFO msg="registration removed"`))
 }
 
+// Guards against an instance that is never registered, and a log that fills up, where another
+// writer has written something odd in place of registrations.
+func TestRegistry_ReplacesOddRegistrations(t *testing.T) {
+	for name, odd := range map[string]string{
+		"nested deep": strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000), "no JSON": "nonsense", "port too large": `{"addr":"10.0.0.1:65536","boot":1}`,
+		"boot too large": `{"addr":"10.0.0.1:7600","boot":1e400}`, "null": "null", "port 0": `{"addr":"10.0.0.1:0","boot":5}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Unix(1000, 0)
+			store := memstore.New()
+			ctx := context.Background()
+			for _, id := range []string{"a", "odd"} {
+				_, err := store.Create(ctx, Prefix+id, []byte(odd))
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			_, err := store.Create(ctx, Prefix+"sound", []byte(`{"addr":"10.0.0.2:7600","boot":1}`))
+			g.Expect(err).NotTo(HaveOccurred())
+			var out bytes.Buffer
+			n := newNode("a", &now)
+			r := &Registry{Store: store, Node: n, Log: slog.New(slog.NewTextHandler(&out, nil)), Now: func() time.Time { return now }, MayRemove: func() bool { return true }, unseenSince: make(map[string]time.Time)}
+			for range 5 {
+				n.accept(Message{ID: "sound", Boot: 1, Seq: uint64(now.Unix())}, address(2))
+				g.Expect(syncOnce(ctx, r)).To(Succeed())
+				now = now.Add(listInterval)
+			}
+			o, err := store.Get(ctx, Prefix+"a")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(o.Value).To(MatchJSON(`{"addr":"10.0.0.1:7600","boot":1}`), "its own is written again")
+			_, err = store.Get(ctx, Prefix+"odd")
+			g.Expect(err).To(MatchError(objectstore.ErrNotFound), "one of nobody is removed")
+			g.Expect(n.MemberIDs()).To(ContainElement("sound"))
+			g.Expect(strings.Count(out.String(), "key=gateways/odd")).To(BeNumerically("<=", 1))
+			g.Expect(len(out.String())).To(BeNumerically("<", 4000))
+		})
+	}
+}
+
 func TestRegistry_RemovesRegistrationOfLeavingPeer(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
--- a/pkg/gossip/registry.go
+++ b/pkg/gossip/registry.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
 )
@@ -39,6 +41,8 @@
 	// RemoveAfter is how long a registered instance may be unreachable before the
 	// holder of the duties removes its registration.
 	RemoveAfter = 30 * time.Second
+	// maxLoggedInvalid bounds the number of invalid registrations that are logged.
+	maxLoggedInvalid = 1000
 )
 
 func sortAddrs(list []netip.AddrPort) { slices.SortFunc(list, netip.AddrPort.Compare) }
@@ -59,6 +63,8 @@
 	// settledFrom is the time from which the others know this instance as a member; nil
 	// before its first read of the registrations. listedAt is when it last read its own.
 	settledFrom, listedAt atomic.Pointer[time.Time]
+	// loggedInvalid holds the versions of the invalid registrations that were logged, by key.
+	loggedInvalid map[string]uint64
 	// unseenSince holds when a registered instance was first found unreachable.
 	unseenSince map[string]time.Time
 }
@@ -131,7 +137,7 @@
 	return true
 }
 
-// list reads the registrations and their versions from the store.
+// list reads the registrations from the store, and the versions of all, valid or not.
 func (r *Registry) list(ctx context.Context) (list map[string]Member, versions map[string]uint64, err error) {
 	objects, err := r.Store.List(ctx, Prefix)
 	if err != nil {
@@ -141,16 +147,45 @@
 	versions = make(map[string]uint64, len(objects))
 	for _, o := range objects {
 		id := strings.TrimPrefix(o.Key, Prefix)
-		var m Member
-		if err := json.Unmarshal(o.Value, &m); err != nil {
-			r.Log.Warn("ignoring invalid registration", "key", o.Key, "error", err.Error())
+		// The version of an invalid one, too, so that it can be replaced or removed.
+		versions[id] = o.Version
+		m, err := decodeMember(o.Value)
+		if err != nil {
+			r.logInvalid(o, err)
 			continue
 		}
-		list[id], versions[id] = m, o.Version
+		list[id] = m
 	}
 	return list, versions, nil
 }
 
+// errInvalidMember means that a registration can't be decoded or has no usable address.
+var errInvalidMember = eris.New("gossip: invalid registration")
+
+// decodeMember decodes a registration.
+func decodeMember(value []byte) (Member, error) {
+	var m Member
+	if err := json.Unmarshal(value, &m); err != nil {
+		return Member{}, eris.Wrapf(errInvalidMember, "%.200s", err.Error())
+	}
+	if !m.Addr.IsValid() || m.Addr.Port() == 0 {
+		return Member{}, eris.Wrapf(errInvalidMember, "address %s", m.Addr)
+	}
+	return m, nil
+}
+
+// logInvalid logs an invalid registration, once for each write of it.
+func (r *Registry) logInvalid(o objectstore.Object, err error) {
+	if r.loggedInvalid[o.Key] == o.Version || len(r.loggedInvalid) >= maxLoggedInvalid {
+		return
+	}
+	if r.loggedInvalid == nil {
+		r.loggedInvalid = make(map[string]uint64)
+	}
+	r.loggedInvalid[o.Key] = o.Version
+	r.Log.Warn("ignoring invalid registration", "key", o.Key, "error", err.Error())
+}
+
 // recordSettled records at the first read when the others will know this instance: at
 // once if its id was registered before this start, or else when all have read the
 // registrations again.
