--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -18,6 +19,7 @@
 	"github.com/medlarsill/medlarsill/pkg/sharedwatch"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
 	"github.com/medlarsill/medlarsill/pkg/truetime"
+	"github.com/medlarsill/medlarsill/pkg/upstream"
 	"github.com/medlarsill/medlarsill/pkg/usage"
 	"github.com/medlarsill/medlarsill/platform"
 )
@@ -96,8 +98,9 @@
 
 // newPoisonGuard returns the guard against requests that crash endpoints.
 func (p *process) newPoisonGuard() *poison.Guard {
+	ends := &upstream.EndChecker{Pool: p.pool, Others: p.table.OtherAddrs}
 	return poison.New(poison.Options{
-		Ended: p.pool.Refuses, Broadcast: p.node.BroadcastCrashes, Metrics: p.metrics, Log: p.log, Now: time.Now,
+		Ended: ends.Ended, Broadcast: p.node.BroadcastCrashes, Metrics: p.metrics, Log: p.log, Now: time.Now,
 		MayProbe: func(t poison.Trait) bool { return p.registry.Settled() && !p.isolated() && p.node.Owns(uint64(t)) },
 	})
 }
@@ -170,6 +173,8 @@
 func (p *process) fillMessage(m *gossip.Message) {
 	m.WallMS = time.Now().UnixMilli()
 	m.Ready = p.ready()
+	m.ForwardPort = p.forwardPort()
+	m.CutOff = p.reach.Services()
 	if t := p.config.Current(); t != nil {
 		m.Config = t.Version
 	}
@@ -192,6 +197,15 @@
 	m.Builds = p.archive.Announcement(m.Seq)
 }
 
+// forwardPort returns the port on which this instance takes requests of its peers' callers.
+func (p *process) forwardPort() uint16 {
+	at, ok := p.listeners.forwarded.Addr().(*net.TCPAddr)
+	if !ok {
+		return 0
+	}
+	return uint16(at.Port)
+}
+
 // usageWindows returns the number of usage windows in this instance's n-th message.
 func usageWindows(n uint64) int {
 	if n%allUsageInterval == 1 {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -20,7 +20,6 @@
 
 // relayStream forwards complete events as they arrive.
 func (a *attempt) relayStream(ctx context.Context, resp *http.Response) outcome {
-	rc := http.NewResponseController(a.w)
 	events := continuation{last: a.lastEvent, resumes: a.headerSent || a.lastEvent != ""}
 	if events.resumes && !isEventStream(resp) {
 		return a.failResumption()
@@ -33,7 +32,7 @@
 		buf = append(buf, chunk[:n]...)
 		if bytes.Contains(buf[searched:], eventEnd) {
 			size, ok := events.accept(buf)
-			if size > 0 && !a.writeEvents(rc, resp, buf[:size]) || !ok {
+			if size > 0 && !a.writeEvents(resp, buf[:size]) || !ok {
 				return outcome{state: stateUnknown, reason: "events don't continue the stream"}
 			}
 			buf = append(buf[:0], buf[size:]...)
@@ -61,19 +60,12 @@
 
 // writeEvents writes complete events to the caller and flushes them. It reports whether they
 // are of the build that began the stream.
-func (a *attempt) writeEvents(rc *http.ResponseController, resp *http.Response, events []byte) bool {
+func (a *attempt) writeEvents(resp *http.Response, events []byte) bool {
 	_, last, count := eventIDs(events)
 	if !a.recordBuild() {
 		return false
 	}
-	if !a.headerSent {
-		h := a.w.Header()
-		copyHeader(h, a.gateway.Protocol.ResponseHeader(resp.Header))
-		h.Del("Content-Length")
-		a.w.WriteHeader(resp.StatusCode)
-		a.headerSent = true
-		a.gateway.Metrics.FirstEvent.Observe(a.gateway.Now().Sub(a.arrived).Seconds())
-	}
+	a.startStream(resp)
 	a.markRunning()
 	a.recordEvent()
 	a.placement.AnswerStarted()
@@ -81,21 +73,39 @@
 	if last != "" {
 		a.lastEvent = last
 	}
-	_, err := a.w.Write(events)
+	a.flush(events)
+	a.setEventDeadline()
+	return true
+}
+
+// startStream writes the header of the response to the caller, unless that was done.
+func (c *call) startStream(resp *http.Response) {
+	if c.headerSent {
+		return
+	}
+	h := c.w.Header()
+	copyHeader(h, c.gateway.Protocol.ResponseHeader(resp.Header))
+	h.Del("Content-Length")
+	c.w.WriteHeader(resp.StatusCode)
+	c.headerSent = true
+	c.gateway.Metrics.FirstEvent.Observe(c.gateway.Now().Sub(c.arrived).Seconds())
+}
+
+// flush writes complete events to the caller at once.
+func (c *call) flush(events []byte) {
+	_, err := c.w.Write(events)
 	if err == nil {
-		err = rc.Flush()
+		err = http.NewResponseController(c.w).Flush()
 	}
 	if err != nil {
-		a.abortCallerLeft()
+		c.abortCallerLeft()
 	}
-	a.setEventDeadline()
-	return true
 }
 
 // setEventDeadline limits the wait for the next event if the stream may be resumed
 // on another endpoint.
 func (a *attempt) setEventDeadline() {
-	if !a.route.Repeatable() || a.route.GapTarget <= 0 || a.possibleRuns >= a.route.MaxAttempts {
+	if !a.route.Repeatable() || a.route.GapTarget <= 0 || a.possibleRuns >= a.maxRuns {
 		a.waitWithoutLimit()
 		return
 	}
--- a/pkg/gossip/members.go
+++ b/pkg/gossip/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -35,9 +36,18 @@
 }
 
 // peerTimeout is PeerTimeout for a caller that holds mu.
-func (n *Node) peerTimeout() time.Duration {
-	rounds := 1 + len(n.peers)/fanout(len(n.peers))
-	return time.Duration(timeoutRounds*rounds) * Interval
+func (n *Node) peerTimeout() time.Duration { return timeoutRounds * n.roundTime() }
+
+// RoundTime returns the time in which every reachable peer sends one message.
+func (n *Node) RoundTime() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roundTime()
+}
+
+// roundTime is RoundTime for a caller that holds mu.
+func (n *Node) roundTime() time.Duration {
+	return time.Duration(1+len(n.peers)/fanout(len(n.peers))) * Interval
 }
 
 // Rank returns this instance's position, from 0, among the ready reachable instances
@@ -100,6 +110,21 @@
 	return ids
 }
 
+// Reaching returns the addresses to which requests for a service may be forwarded: those of the
+// reachable ready peers that don't say that its endpoints are cut off.
+func (n *Node) Reaching(service string) []string {
+	timeout := n.PeerTimeout()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var addrs []string
+	for _, p := range n.peers {
+		if n.Now().Sub(p.lastSeen) <= timeout && p.ready && p.forwardPort != 0 && !slices.Contains(p.cutOff, service) {
+			addrs = append(addrs, netip.AddrPortFrom(p.addr.Addr(), p.forwardPort).String())
+		}
+	}
+	return addrs
+}
+
 // ReachablePeers returns the number of reachable peers.
 func (n *Node) ReachablePeers() int { return len(n.ReachablePeerIDs()) }
 
