Usage: a window far from the current one drops no others

What could be seen: one count of an impossible window, in the stored state or in a message of a peer whose clock is far off, dropped all counts that an instance had, so that a window was reported with too few requests.

Cause: windows older than the newest one that was ever named are dropped.

Change: counts of windows far from the current one aren't merged, and the log says so.

Evidence: TestLedger_IgnoresWindowsFarFromNow failed before (no count was left of one) and passes now.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -220,7 +220,9 @@
 	p.clock.Observe(m.ID, time.UnixMilli(m.WallMS))
 	p.allowances.ReceiveTotals(m.ID, m.Boot, m.Totals)
 	p.meter.Record(from, m.Demand)
-	p.usage.Merge(from, m.Usage)
+	if ignored := p.usage.Merge(from, m.Usage); ignored > 0 {
+		p.log.Debug("usage counts of peer ignored", "peer", m.ID, "windows", ignored, "reason", "far from the current window")
+	}
 	p.rateLimits.Receive(m.RateLimits)
 	p.poison.Merge(m.Quarantine)
 	p.dutyLease.ObserveFence(m.Fence)
--- a/pkg/usage/report.go
+++ b/pkg/usage/report.go
@@ -128,7 +128,9 @@
 	}
 	for index, sources := range r.state.Counts {
 		for source, c := range sources {
-			r.Ledger.Merge(source, map[int64]map[string]int{index: c})
+			if r.Ledger.Merge(source, map[int64]map[string]int{index: c}) > 0 {
+				r.Log.Warn("stored usage counts ignored", "window", index, "source", source, "reason", "far from the current window")
+			}
 		}
 	}
 	r.firstWindow = r.Ledger.Index(r.Ledger.Now())
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -89,16 +89,22 @@
 }
 
 // Merge adds the counts of a source. If a count is already known, the larger one is
-// kept.
-func (l *Ledger) Merge(source string, windows map[int64]map[string]int) {
+// kept. Windows far from the current one are ignored; it returns their number.
+func (l *Ledger) Merge(source string, windows map[int64]map[string]int) (ignored int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	newest := l.Index(l.Now())
 	for index, from := range windows {
+		if index < newest-2*KeptWindows || index > newest+KeptWindows {
+			ignored++ // never reported, and it would drop the others
+			continue
+		}
 		c := l.counts(index, source)
 		for workspace, n := range from {
 			c[workspace] = max(c[workspace], n)
 		}
 	}
+	return ignored
 }
 
 // Sources returns the counts of a window by source.
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,6 +51,23 @@
 	g.Expect(len(l.Own(KeptWindows))).To(BeNumerically("<=", KeptWindows))
 }
 
+// Guards against one count of an impossible window, in the stored state or in a message, that
+// drops the counts of all others.
+func TestLedger_IgnoresWindowsFarFromNow(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100_000, 0)
+	l := NewLedger("a/1", window, func() time.Time { return now })
+	l.Began("w1")
+	index := l.Index(now)
+	ignored := l.Merge("b/1", map[int64]map[string]int{math.MaxInt64: {"w1": 5}, math.MinInt64: {"w1": 5}, index + 100: {"w1": 5}, index - 100: {"w1": 5}, index - 1: {"w1": 2}, index + 1: {"w1": 3}})
+	g.Expect(ignored).To(Equal(4))
+	g.Expect(l.Sum(index)).To(Equal(Counts{"w1": 1}))
+	g.Expect(l.Sum(index - 1)).To(Equal(Counts{"w1": 2}))
+	g.Expect(l.Sum(index+1)).To(Equal(Counts{"w1": 3}), "the clock of a peer may be a little ahead")
+	l.Began("w1")
+	g.Expect(l.Sum(index)).To(Equal(Counts{"w1": 2}))
+}
+
 // Guards against messages to peers that repeat counts which no longer change.
 func TestLedger_TellsNewestWindows(t *testing.T) {
 	g := NewWithT(t)
