--- a/pkg/sharedwatch/sharedwatch_test.go
+++ b/pkg/sharedwatch/sharedwatch_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -190,6 +191,28 @@
 	})
 }
 
+// Guards against followers that miss a sound change which comes with odd ones: values of the
+// largest size that compress to almost nothing.
+func TestStore_FollowersKnowSoundChangeBesideOddOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(40, noLoss)
+		defer f.shutdown()
+		time.Sleep(settleTime)
+		odd := strings.Repeat("[", objectstore.MaxValueBytes)
+		for n := range 3 {
+			sound := fmt.Sprint(n)
+			f.put("odd-1", odd[n:])
+			f.put("sound", sound)
+			f.put("odd-2", odd[n:])
+			time.Sleep(250 * time.Millisecond)
+			g.Expect(f.countWith("sound", sound)).To(Equal(40))
+			g.Expect(f.countWith("odd-1", odd[n:])).To(Equal(40))
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // Guards against all instances reading a large object from the store at the same moment,
 // whenever a small part of it changes.
 func TestStore_SendsSmallChangeOfLargeObjectToFollowers(t *testing.T) {
