rendezvous: the position of one node among many

Cause: the ranking by which instances share a rate limit lived in ratelimit, and the parts of overload-sensitive endpoints need the same one. Change: it moves to rendezvous as Ranking; ratelimit uses it. Result: go test ./pkg/rendezvous ./pkg/ratelimit passes; no change in behaviour.

--- a/pkg/ratelimit/limits.go
+++ b/pkg/ratelimit/limits.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/rendezvous"
 )
 
 const (
@@ -41,6 +42,8 @@
 	Settled bool
 }
 
+func (m Membership) ranking() rendezvous.Ranking { return rendezvous.NewRanking(m.Self, m.IDs) }
+
 // Options configures Limits. All fields are required.
 type Options struct {
 	Members func() Membership
@@ -192,7 +195,7 @@
 		return nil, false
 	}
 	g := &guardedLimit{limit: limit{perSecond: unknownRate, announcedAt: at, refilledAt: l.Now()}}
-	g.rank = newRanking(l.Members()).rank(k)
+	g.rank = l.Members().ranking().Position(rendezvous.Key(k.ID))
 	l.active.Store(k, g)
 	l.count.Add(1)
 	return g, true
@@ -219,9 +222,9 @@
 		return
 	}
 	m := l.Members()
-	ranking := newRanking(m)
-	membersChanged := ranking.hash() != l.membersHash
-	l.membersHash = ranking.hash()
+	ranking := m.ranking()
+	membersChanged := ranking.Hash() != l.membersHash
+	l.membersHash = ranking.Hash()
 	l.all(func(k endpoints.Key, g *guardedLimit) {
 		g.Lock()
 		defer g.Unlock()
@@ -229,7 +232,7 @@
 			g.postpone(pause)
 		}
 		if membersChanged {
-			g.rank = ranking.rank(k)
+			g.rank = ranking.Position(rendezvous.Key(k.ID))
 		}
 		if !g.refresh(now) {
 			l.active.Delete(k)
