Endpoints that are sensitive to overload fail less often

The instances know each other's load 0.2 to 1 s late: a freed slot was filled by several of them, a refusal freed a slot of the sender's and was followed by the next request at once, and an endpoint that was silent for a second got new requests in the place of those that it still held. Change: pkg/overload parts the slots of a sensitive endpoint among the instances without messages, lends unused slots at a bounded rate, stops for a second after a refusal and tries more slowly, and counts unanswered requests until the next answer. What is announced is told to the peers and holds for endpoints of the service of which nothing is known.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,6 +14,7 @@
 	"github.com/medlarsill/medlarsill/pkg/gossip"
 	"github.com/medlarsill/medlarsill/pkg/objectstore/counted"
 	"github.com/medlarsill/medlarsill/pkg/origin"
+	"github.com/medlarsill/medlarsill/pkg/overload"
 	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
@@ -96,6 +98,13 @@
 	return ratelimit.Membership{Self: p.cfg.ID, IDs: p.node.MemberIDs(), Settled: p.registry.Settled()}
 }
 
+// newOverloadGuard returns the guard of endpoints that are sensitive to overload.
+func (p *process) newOverloadGuard() *overload.Guard {
+	return overload.New(overload.Options{
+		Members: p.membership, Endpoints: p.table, PeerTimeout: p.node.PeerTimeout, Metrics: p.metrics, Log: p.log, Now: time.Now, Random: rand.Float64,
+	})
+}
+
 // newPoisonGuard returns the guard against requests that crash endpoints.
 func (p *process) newPoisonGuard() *poison.Guard {
 	ends := &upstream.EndChecker{Pool: p.pool, Others: p.table.OtherAddrs}
@@ -108,10 +117,11 @@
 // isolated reports whether this instance reaches less than half of the others.
 func (p *process) isolated() bool { return 2*p.node.ReachablePeers() < p.node.Members()-1 }
 
-// tickRateLimits keeps this instance's shares of the rate limits up to date.
-func (p *process) tickRateLimits(ctx context.Context) error {
+// tickLimits keeps this instance's shares of rate limits and of sensitive endpoints up to date.
+func (p *process) tickLimits(ctx context.Context) error {
 	for sleep.For(ctx, ratelimit.TickInterval) {
 		p.rateLimits.Tick()
+		p.overload.Tick()
 	}
 	return nil
 }
@@ -192,6 +202,7 @@
 	}
 	m.Usage = p.usage.Own(usageWindows(m.Seq))
 	m.RateLimits = p.rateLimits.Reports()
+	m.Overload = p.overload.Reports()
 	m.Quarantine = p.poison.NextEntries()
 	m.Fence = p.dutyLease.HighestFence()
 	m.Builds = p.archive.Announcement(m.Seq)
@@ -222,6 +233,7 @@
 	p.meter.Record(from, m.Demand)
 	p.usage.Merge(from, m.Usage)
 	p.rateLimits.Receive(m.RateLimits)
+	p.overload.Receive(m.Overload)
 	p.poison.Merge(m.Quarantine)
 	p.dutyLease.ObserveFence(m.Fence)
 	p.archive.Merge(m.Builds)
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -25,6 +25,7 @@
 	"github.com/medlarsill/medlarsill/pkg/logging"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/origin"
+	"github.com/medlarsill/medlarsill/pkg/overload"
 	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/reach"
@@ -80,6 +81,7 @@
 	allowances       *allowance.Limiter
 	rateLimits       *ratelimit.Limits
 	backoffs         *backoff.Backoffs
+	overload         *overload.Guard
 	poison           *poison.Guard
 	origins          *origin.Registry
 	archive          *origin.Archive
@@ -126,10 +128,12 @@
 	p.backoffs = backoff.New(backoff.Options{Metrics: p.metrics, Log: log, Now: time.Now})
 	p.scheduler.Limits = schedule.AllOf{p.backoffs, p.rateLimits}
 	p.reach = reach.New(reach.Options{Endpoints: p.table, Connects: p.pool.Accepts, Log: log})
+	p.overload = p.newOverloadGuard()
+	p.scheduler.Shares = p.overload
 	p.poison = p.newPoisonGuard()
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.allowances,
-		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs, Poison: p.poison, Origins: p.origins,
+		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs, Overload: p.overload, Poison: p.poison, Origins: p.origins,
 		Pool: p.pool, Reach: p.reach, Peers: p.node, PeerPool: p.peerPool, Metrics: gateway.NewMetrics(p.metrics), Log: log, KnownState: p.knownState, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
 	})
 	p.setUpDuties(client)
@@ -206,7 +210,7 @@
 		{"ingress limits", p.ingress.Sweep},
 		{"endpoint connections", p.sweepPool},
 		{"speed log", p.logSpeeds},
-		{"rate limits", p.tickRateLimits},
+		{"limits", p.tickLimits},
 		{"poison", p.poison.Run},
 		{"quarantine", p.keepQuarantine},
 		{"peers", p.runPeers},
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -148,10 +149,14 @@
 		g.Log.Info("endpoint leaving", "endpoint", e.ID, "service", e.Service, "source", "answer")
 	}
 	k := e.Key()
-	if meta.RateLimit.Limited || meta.RateLimit.Err != nil || meta.Stamped || meta.NotRun {
-		// An answer without the endpoint's proof may lack what the endpoint announces.
+	// An answer without the endpoint's proof may lack what the endpoint announces.
+	proved := meta.Stamped || meta.NotRun
+	if proved || meta.RateLimit.Limited || meta.RateLimit.Err != nil {
 		g.RateLimits.Observe(k, a.lastSent, meta.RateLimit)
 	}
+	if proved || meta.Overload.Sensitive || meta.Overload.Err != nil {
+		g.Overload.Observe(e, a.lastSent, meta.Overload)
+	}
 	g.Backoffs.Observe(k, meta.Backoff)
 }
 
@@ -189,6 +194,9 @@
 // handleNoResponse handles a failure before the response began.
 func (a *attempt) handleNoResponse(ctx context.Context, err error) outcome {
 	g := a.gateway
+	if a.silent || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		g.Overload.Unanswered(a.placement.Endpoint)
+	}
 	if ctx.Err() != nil {
 		a.placement.Abandoned()
 		return outcome{state: stateUnknown, reason: "no answer in time", err: err}
@@ -210,6 +218,9 @@
 		a.placement.Endpoint.RecordUnreachable(a.gateway.Now())
 		return outcome{state: stateRefused, reason: "another endpoint has the address"}
 	}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		a.gateway.Overload.Refused(a.placement.Endpoint)
+	}
 	return outcome{state: stateRefused, reason: "endpoint full"}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/medlarsill/medlarsill/pkg/backoff"
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/overload"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 	"github.com/medlarsill/medlarsill/pkg/schedule"
@@ -74,6 +75,18 @@
 	Observe(k endpoints.Key, r backoff.Request)
 }
 
+// Overload keeps endpoints up that are sensitive to overload.
+type Overload interface {
+	// Observe records what an endpoint's answer says of its sensitivity, to a request that
+	// was sent at the given time.
+	Observe(e *endpoints.Endpoint, sentAt time.Time, a overload.Announcement)
+	// Refused records that an endpoint had no room for a request, which still is part of its load.
+	Refused(e *endpoints.Endpoint)
+	// Unanswered records that a request, which still is part of its load, got no answer from an
+	// endpoint.
+	Unanswered(e *endpoints.Endpoint)
+}
+
 // Endpoints holds the registered endpoints.
 type Endpoints interface {
 	// MarkLeaving marks an endpoint as accepting no new requests, for good. It reports
@@ -108,6 +121,8 @@
 	RateLimits RateLimits
 	// Backoffs keeps the times until which endpoints want no requests.
 	Backoffs Backoffs
+	// Overload keeps endpoints up that are sensitive to overload.
+	Overload Overload
 	// Poison keeps requests that crash endpoints away from them.
 	Poison PoisonGuard
 	// Origins knows at which builds streams began.
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/backoff"
+	"github.com/medlarsill/medlarsill/pkg/overload"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/schedule"
 )
@@ -71,6 +72,8 @@
 	RateLimit ratelimit.Announcement
 	// Backoff is what the response says of the time for which its endpoint wants no requests.
 	Backoff backoff.Request
+	// Overload is what the response says of the endpoint's sensitivity to overload.
+	Overload overload.Announcement
 	// Stamped means that the response carries the endpoint's stamp, which proves
 	// that the endpoint made it.
 	Stamped bool
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/medlarsill/medlarsill/pkg/origin"
+	"github.com/medlarsill/medlarsill/pkg/overload"
 	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/speed"
@@ -79,6 +80,8 @@
 	Quarantine []poison.Entry `cbor:"17,keyasint,omitempty"`
 	// RateLimits holds some of the endpoints' rate limits that the sender knows of.
 	RateLimits []ratelimit.Report `cbor:"15,keyasint,omitempty"`
+	// Overload holds some of the endpoints that the sender knows to be sensitive to overload.
+	Overload []overload.Report `cbor:"21,keyasint,omitempty"`
 	// Usage holds the number of requests that began to run, by usage window and workspace.
 	Usage map[int64]map[string]int `cbor:"8,keyasint,omitempty"`
 }
--- a/pkg/schedule/choose.go
+++ b/pkg/schedule/choose.go
@@ -67,7 +67,7 @@
 		}
 		paused := e.Paused(now)
 		anyUnpaused = anyUnpaused || !paused
-		if n := s.Slots(e); n > 0 && e.TotalLoad().Running >= n {
+		if n := s.Slots(e); !s.Shares.HasRoom(e) || n > 0 && e.TotalLoad().Running >= n {
 			continue
 		}
 		if paused {
--- a/pkg/schedule/limits.go
+++ b/pkg/schedule/limits.go
@@ -20,6 +20,15 @@
 // Wait implements Limits.
 func (unlimited) Wait(endpoints.Key) time.Duration { return 0 }
 
+// unshared is the default of Scheduler.Shares: no endpoint is sensitive to overload.
+type unshared struct{}
+
+// HasRoom implements Shares.
+func (unshared) HasRoom(*endpoints.Endpoint) bool { return true }
+
+// Placed implements Shares.
+func (unshared) Placed(*endpoints.Endpoint) {}
+
 // AllOf is the combination of several Limits: each of them must permit a request.
 type AllOf []Limits
 
--- a/pkg/schedule/placement.go
+++ b/pkg/schedule/placement.go
@@ -43,6 +43,7 @@
 		return nil
 	}
 	prompt := c.prefill.Own + int(speeds.Estimate().CacheMissRate()*float64(c.prefill.Shared))
+	s.Shares.Placed(c.endpoint)
 	c.endpoint.Begin(prompt, now)
 	return &Placement{
 		Endpoint: c.endpoint, Expected: c.timeToStart, scheduler: s, speeds: speeds, request: r,
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -109,6 +109,14 @@
 	Wait(k endpoints.Key) time.Duration
 }
 
+// Shares tells which endpoints have room for a request of this instance.
+type Shares interface {
+	// HasRoom reports whether a request may be placed on an endpoint now.
+	HasRoom(e *endpoints.Endpoint) bool
+	// Placed records that a request is placed on an endpoint, before it is part of its load.
+	Placed(e *endpoints.Endpoint)
+}
+
 // Scheduler places requests. It is safe for concurrent use.
 type Scheduler struct {
 	Endpoints Endpoints
@@ -122,6 +130,8 @@
 	Speeds *speed.Model
 	// Limits holds the limits that the endpoints announce.
 	Limits Limits
+	// Shares holds this instance's shares of endpoints that are sensitive to overload.
+	Shares Shares
 
 	// random returns a random number in [0, n).
 	random func(n int) int
@@ -134,7 +144,7 @@
 // New returns a scheduler. slots returns the number of requests that an endpoint may run
 // at once; 0 means no limit.
 func New(list Endpoints, slots func(*endpoints.Endpoint) int, now func() time.Time) *Scheduler {
-	return &Scheduler{Endpoints: list, Slots: slots, Now: now, Members: singleInstance, Speeds: speed.New(now), Limits: unlimited{}, random: rand.IntN, queues: make(map[string]*queue), workMixes: make(map[string]*workMix)}
+	return &Scheduler{Endpoints: list, Slots: slots, Now: now, Members: singleInstance, Speeds: speed.New(now), Limits: unlimited{}, Shares: unshared{}, random: rand.IntN, queues: make(map[string]*queue), workMixes: make(map[string]*workMix)}
 }
 
 // singleInstance is the default of Scheduler.Members.
