--- a/cmd/medlarsill-gateway/soak_test.go
+++ b/cmd/medlarsill-gateway/soak_test.go
@@ -98,8 +98,8 @@
 	// ended is closed when the process has ended, and stopped is true if that was wanted.
 	ended   chan struct{}
 	stopped bool
-	// broken holds the times at which the process was killed or its links changed.
-	broken []time.Time
+	// broken holds the spans of time in which the process was killed or its links changed.
+	broken [][2]time.Time
 	// cuts holds the spans of time in which the gateway reaches no endpoint, with some slack.
 	cuts  [][2]time.Time
 	crash string
@@ -322,11 +322,13 @@
 	_ = gw.cmd.Process.Signal(signal)
 }
 
-// recordBreak records that requests under way may break off.
-func (gw *soakGateway) recordBreak() {
+// breakOff does something by which requests under way may break off, and records when.
+func (gw *soakGateway) breakOff(do func()) {
+	begin := time.Now()
+	do()
 	gw.mu.Lock()
 	defer gw.mu.Unlock()
-	gw.broken = append(gw.broken, time.Now())
+	gw.broken = append(gw.broken, [2]time.Time{begin, time.Now()})
 }
 
 // cutBetween reports whether the gateway was cut off from the endpoints in a span of time.
@@ -350,12 +352,7 @@
 func (gw *soakGateway) brokenBetween(from, to time.Time) bool {
 	gw.mu.Lock()
 	defer gw.mu.Unlock()
-	for _, at := range gw.broken {
-		if at.After(from) && at.Before(to) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(gw.broken, func(b [2]time.Time) bool { return b[0].Before(to) && b[1].After(from) })
 }
 
 func (gw *soakGateway) ready() bool {
@@ -459,9 +456,10 @@
 		running.Go(func() {
 			defer busy.Add(-1)
 			if signal == syscall.SIGKILL {
-				gw.recordBreak()
+				gw.breakOff(func() { gw.end(signal) })
+			} else {
+				gw.end(signal)
 			}
-			gw.end(signal)
 			s.start(gw)
 			gw.awaitReady()
 		})
@@ -496,15 +494,15 @@
 	gw.cuts = append(gw.cuts, [2]time.Time{time.Now(), time.Now().Add(length + time.Second)})
 	gw.mu.Unlock()
 	for _, failing := range []bool{true, false} {
-		gw.recordBreak()
-		for _, e := range s.endpoints {
-			fail(e.links[gw.index].recordingListener, failing)
-		}
+		gw.breakOff(func() {
+			for _, e := range s.endpoints {
+				fail(e.links[gw.index].recordingListener, failing)
+			}
+		})
 		if failing {
 			time.Sleep(length)
 		}
 	}
-	gw.recordBreak()
 }
 
 // Checks real processes under faults that come in series and overlap: signals, changes of the
