--- a/cmd/medlarsill-gateway/process_test.go
+++ b/cmd/medlarsill-gateway/process_test.go
@@ -10,8 +10,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -40,30 +38,12 @@
 	store     *platformtest.Store
 	cloud     *platformtest.Cloud
 	endpoints []*platformtest.Endpoint
-	log       *logBuffer
-}
-
-// logBuffer collects the log lines of all processes.
-type logBuffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *logBuffer) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(b)
-}
-
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
+	log       *platformtest.LogBuffer
 }
 
 func newTestPlatform(t *testing.T) *testPlatform {
 	t.Helper()
-	s := &testPlatform{g: NewWithT(t), store: platformtest.NewStore(), cloud: platformtest.NewCloud(), log: &logBuffer{}}
+	s := &testPlatform{g: NewWithT(t), store: platformtest.NewStore(), cloud: platformtest.NewCloud(), log: &platformtest.LogBuffer{}}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log("log of the processes:\n" + s.log.String())
@@ -319,7 +299,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	file := filepath.Join(t.TempDir(), "settings.json")
 	g.Expect(os.WriteFile(file, data, 0o600)).To(Succeed())
-	var out logBuffer
+	var out platformtest.LogBuffer
 	p := newProcess(cfg, file, slog.New(slog.NewJSONHandler(&out, nil)))
 	p.reload()
 	g.Expect(out.String()).To(ContainSubstring("failed to reload settings"), "required settings are missing")
@@ -352,7 +332,7 @@
 			g := NewWithT(t)
 			cfg := s.settings("gw-2")
 			change(&cfg)
-			var out logBuffer
+			var out platformtest.LogBuffer
 			p := newProcess(cfg, "", slog.New(slog.NewJSONHandler(&out, nil)))
 			g.Expect(p.listen(t.Context())).To(MatchError(syscall.EADDRINUSE))
 			g.Expect(out.String()).To(And(ContainSubstring(`"msg":"failed to listen"`), ContainSubstring(fmt.Sprintf(`"server":%q`, server)), ContainSubstring("address already in use")))
--- a/cmd/medlarsill-gateway/soak_test.go
+++ b/cmd/medlarsill-gateway/soak_test.go
@@ -22,9 +22,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"golang.org/x/sys/unix"
 
 	"github.com/medlarsill/medlarsill/pkg/settings"
+	"github.com/medlarsill/medlarsill/pkg/silentsocket"
 	"github.com/medlarsill/medlarsill/platform"
 	"github.com/medlarsill/medlarsill/platform/platformtest"
 )
@@ -139,21 +139,13 @@
 	}
 }
 
-// setSilent makes the kernel drop what a socket receives, or receive it again.
+// setSilent makes a socket silent, or ends that. One that is closed meanwhile needs neither.
 func setSilent(c syscall.Conn, silent bool) {
-	raw, err := c.SyscallConn()
-	if err != nil {
+	if silent {
+		_ = silentsocket.Begin(c)
 		return
 	}
-	// A socket that is closed meanwhile needs no filter.
-	_ = raw.Control(func(fd uintptr) {
-		if silent {
-			drop := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET}}
-			_ = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &drop)
-			return
-		}
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-	})
+	_ = silentsocket.End(c)
 }
 
 // silence makes the listener and its connections silent, or ends that.
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"mime"
 	"net/http"
 	"slices"
@@ -11,9 +13,49 @@
 // eventStreamType is the media type of event streams.
 const eventStreamType = "text/event-stream"
 
+const (
+	// readSize is the buffer size of one read of a stream.
+	readSize = 4 << 10
+	// maxEventBytes limits the size of an event.
+	maxEventBytes = 1 << 20
+)
+
+// errEvents is the error of events that don't continue the stream.
+var errEvents = errors.New("events don't continue the stream")
+
+// errEventTooLarge is the error of an event that exceeds maxEventBytes.
+var errEventTooLarge = errors.New("event too large")
+
 // eventEnd ends each event of a stream.
 var eventEnd = []byte("\n\n")
 
+// splitEvents calls write with complete events that continue the stream, as they arrive, until
+// the body ends or write returns false. It returns the number of bytes after the last of them.
+func splitEvents(body io.Reader, events *continuation, write func(accepted []byte) bool) (left int, err error) {
+	buf := make([]byte, 0, readSize)
+	chunk := make([]byte, readSize)
+	for {
+		n, err := body.Read(chunk)
+		searched := max(0, len(buf)-len(eventEnd)+1)
+		buf = append(buf, chunk[:n]...)
+		if bytes.Contains(buf[searched:], eventEnd) {
+			size, ok := events.accept(buf)
+			if size > 0 && !write(buf[:size]) || !ok {
+				return 0, errEvents
+			}
+			buf = append(buf[:0], buf[size:]...)
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return len(bytes.TrimSpace(buf)), nil
+		case err != nil:
+			return 0, err
+		case len(buf) > maxEventBytes:
+			return 0, errEventTooLarge
+		}
+	}
+}
+
 // continuation checks whether the events of a response continue the stream that the caller has.
 type continuation struct {
 	// last is the id of the last event before the next one; "" if there is none with an id.
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -195,7 +194,10 @@
 	if events.resumes && !isEventStream(resp) {
 		return outcome{state: stateUnknown, reason: "stream not resumed"}
 	}
-	left, err := splitEvents(resp.Body, &events, func(accepted []byte) { f.writeEvents(resp, accepted) })
+	left, err := splitEvents(resp.Body, &events, func(accepted []byte) bool {
+		f.writeEvents(resp, accepted)
+		return true
+	})
 	continued := f.headerSent && (events.identified || !events.resumes)
 	if err != nil || left > 0 || !continued {
 		return outcome{state: stateUnknown, reason: "stream broke off", err: err}
@@ -205,34 +207,6 @@
 	return outcome{state: stateAnswered, done: true}
 }
 
-// errEvents is the error of events that don't directly follow those before, or don't end.
-var errEvents = errors.New("events don't continue the stream")
-
-// splitEvents calls write with complete events that continue the stream, as they arrive, until
-// the body ends. It returns the number of bytes after the last of them.
-func splitEvents(body io.Reader, events *continuation, write func(accepted []byte)) (left int, err error) {
-	buf := make([]byte, 0, readSize)
-	chunk := make([]byte, readSize)
-	for {
-		n, err := body.Read(chunk)
-		buf = append(buf, chunk[:n]...)
-		size, ok := events.accept(buf)
-		if size > 0 {
-			write(buf[:size])
-			buf = append(buf[:0], buf[size:]...)
-		}
-		if !ok || len(buf) > maxEventBytes {
-			return 0, errEvents
-		}
-		if errors.Is(err, io.EOF) {
-			return len(bytes.TrimSpace(buf)), nil
-		}
-		if err != nil {
-			return 0, err
-		}
-	}
-}
-
 // writeEvents writes complete events to the caller and flushes them.
 func (f *forwardAttempt) writeEvents(resp *http.Response, events []byte) {
 	f.startStream(resp)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -1,22 +1,15 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 )
 
-const (
-	// readSize is the buffer size of one read of a stream.
-	readSize = 4 << 10
-	// maxEventBytes limits the size of an event.
-	maxEventBytes = 1 << 20
-	// stallTimeoutFactor is the number of times the route's GapTarget after which a stream
-	// without an event counts as stalled, if it may be resumed.
-	stallTimeoutFactor = 5
-)
+// stallTimeoutFactor is the number of times the route's GapTarget after which a stream
+// without an event counts as stalled, if it may be resumed.
+const stallTimeoutFactor = 5
 
 // relayStream forwards complete events as they arrive.
 func (a *attempt) relayStream(ctx context.Context, resp *http.Response) outcome {
@@ -24,30 +17,18 @@
 	if events.resumes && !isEventStream(resp) {
 		return a.failResumption()
 	}
-	buf := make([]byte, 0, readSize)
-	chunk := make([]byte, readSize)
-	for {
-		n, err := resp.Body.Read(chunk)
-		searched := max(0, len(buf)-len(eventEnd)+1)
-		buf = append(buf, chunk[:n]...)
-		if bytes.Contains(buf[searched:], eventEnd) {
-			size, ok := events.accept(buf)
-			if size > 0 && !a.writeEvents(resp, buf[:size]) || !ok {
-				return outcome{state: stateUnknown, reason: "events don't continue the stream"}
-			}
-			buf = append(buf[:0], buf[size:]...)
-		}
-		ended := errors.Is(err, io.EOF) && len(bytes.TrimSpace(buf)) == 0
-		if ended && !a.firstEvent.IsZero() {
-			return a.finishStream(resp)
-		}
-		if errors.Is(err, io.EOF) && events.resumes && !events.identified && !endsWithConnection(resp) {
-			return a.failResumption()
-		}
-		if err != nil || len(buf) > maxEventBytes {
-			return a.failStream(ctx, err)
-		}
+	left, err := splitEvents(resp.Body, &events, func(accepted []byte) bool { return a.writeEvents(resp, accepted) })
+	switch {
+	case errors.Is(err, errEvents):
+		return outcome{state: stateUnknown, reason: "events don't continue the stream"}
+	case err == nil && left == 0 && !a.firstEvent.IsZero():
+		return a.finishStream(resp)
+	case err == nil && events.resumes && !events.identified && !endsWithConnection(resp):
+		return a.failResumption()
+	case err == nil:
+		err = io.ErrUnexpectedEOF
 	}
+	return a.failStream(ctx, err)
 }
 
 // failResumption handles a response to a resumed stream that is whole but doesn't continue it. No
--- a/pkg/upstream/silence_test.go
+++ b/pkg/upstream/silence_test.go
@@ -9,28 +9,17 @@
 
 	. "github.com/onsi/gomega"
 	"golang.org/x/sys/unix"
+
+	"github.com/medlarsill/medlarsill/pkg/silentsocket"
 )
 
 // soundSilence is how long an endpoint may be silent and go on.
 const soundSilence = 1500 * time.Millisecond
 
-// silence makes the kernel drop all that a connection receives, unacknowledged, until the
-// returned function is called.
+// silence makes a connection silent until the returned function is called.
 func silence(g *WithT, c net.Conn) (end func()) {
-	raw, err := c.(*net.TCPConn).SyscallConn()
-	g.Expect(err).NotTo(HaveOccurred())
-	dropAll := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET}}
-	var optErr error
-	g.Expect(raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &dropAll)
-	})).To(Succeed())
-	g.Expect(optErr).NotTo(HaveOccurred())
-	return func() {
-		_ = raw.Control(func(fd uintptr) {
-			optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-		})
-		g.Expect(optErr).NotTo(HaveOccurred())
-	}
+	g.Expect(silentsocket.Begin(c.(*net.TCPConn))).To(Succeed())
+	return func() { g.Expect(silentsocket.End(c.(*net.TCPConn))).To(Succeed()) }
 }
 
 // Guards against requests that end without an answer since the kernel ends the connection to
