--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 STEPS ?= 100
 
-.PHONY: build test fmt vet lint unit demo up faults measure soak bench
+.PHONY: build test fmt vet lint unit demo up faults measure soak soak-gateway bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -43,6 +43,12 @@
 soak:
 	SEED=$(SEED) STEPS=$(STEPS) $(GO) test -timeout 0 -count=1 $(SOAK)
 
+# Runs real gateway processes under faults in series: make soak-gateway SEEDS="1 2 3" SOAK_S=60
+SEEDS ?= $(SEED)
+SOAK_S ?= 60
+soak-gateway:
+	for seed in $(SEEDS); do SEED=$$seed SOAK_S=$(SOAK_S) $(GO) test -count=1 -v -run TestSoak ./cmd/medlarsill-gateway || exit 1; done
+
 # Speed and memory of an entry against a direct call, and of the decisions.
 bench:
 	$(GO) test -run xxx -bench . ./pkg/entry ./pkg/place ./pkg/admit ./pkg/config
