A crash counts at once also while many endpoints are down

Cause: the check of refused connections asked four other endpoints; with most of a fleet down none of them accepted one, and the crash counted 100 ms or more later.

Change: it asks up to 16.

--- a/pkg/upstream/ended.go
+++ b/pkg/upstream/ended.go
@@ -4,7 +4,7 @@
 
 const (
 	// comparedPerTry is the largest number of other addresses that are asked at once.
-	comparedPerTry = 4
+	comparedPerTry = 16
 	// compareInterval is the time between two tries to reach another address, and
 	// compareTries the largest number of tries.
 	compareInterval = 100 * time.Millisecond
