--- a/pkg/upstream/ended.go
+++ b/pkg/upstream/ended.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	// comparedPerTry is the largest number of other addresses that are asked at once.
+	// comparedPerTry is the largest number of other addresses that one try asks.
 	comparedPerTry = 16
 	// compareInterval is the time between two tries to reach another address, and
-	// compareTries the largest number of tries.
+	// compareTime the time after which no more are asked.
 	compareInterval = 100 * time.Millisecond
-	compareTries    = 30
+	compareTime     = 3 * time.Second
 )
 
 // EndChecker tells the end of an endpoint's process from a fault of this instance's own links.
@@ -22,7 +22,8 @@
 // while another one accepts them, if there is another. If none does, it waits until one does or
 // until it is too late to tell.
 func (c *EndChecker) Ended(addr string) bool {
-	for n := range compareTries {
+	until := c.Pool.Now().Add(compareTime)
+	for n := 0; c.Pool.Now().Before(until); n++ {
 		if !c.Pool.Refuses(addr) {
 			return false
 		}
@@ -30,7 +31,7 @@
 		if len(others) == 0 {
 			return true
 		}
-		if c.anyAccepts(others, n*comparedPerTry) {
+		if c.anyAccepts(others, n*comparedPerTry, until) {
 			// The links may have been repaired after the address refused.
 			return c.Pool.Refuses(addr)
 		}
@@ -39,10 +40,13 @@
 	return false
 }
 
-// anyAccepts reports whether one of some addresses accepts a connection, beginning with the
-// first-th and going round.
-func (c *EndChecker) anyAccepts(addrs []string, first int) bool {
+// anyAccepts reports whether one of some addresses accepts a connection until a time, beginning
+// with the first-th and going round.
+func (c *EndChecker) anyAccepts(addrs []string, first int, until time.Time) bool {
 	for n := range min(len(addrs), comparedPerTry) {
+		if !c.Pool.Now().Before(until) {
+			return false
+		}
 		if c.Pool.Accepts(addrs[(first+n)%len(addrs)]) {
 			return true
 		}
--- a/pkg/upstream/ended_test.go
+++ b/pkg/upstream/ended_test.go
@@ -15,11 +15,17 @@
 type endWorld struct {
 	// refusing holds the addresses that refuse, and until when.
 	refusing map[string]time.Time
+	// hanging holds the addresses that don't answer.
+	hanging map[string]bool
 }
 
 func (w *endWorld) checker(others ...string) *EndChecker {
 	p := NewPool(time.Now)
-	p.Dial = func(_ context.Context, addr string) (net.Conn, error) {
+	p.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		if w.hanging[addr] {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		if time.Now().Before(w.refusing[addr]) {
 			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 		}
@@ -59,3 +65,15 @@
 		})
 	}
 }
+
+// Guards against a check that goes on for long after the endpoint refused since the others don't
+// answer.
+func TestEndChecker_GivesUpInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := &endWorld{refusing: map[string]time.Time{"own": time.Now().Add(time.Hour)}, hanging: map[string]bool{"a": true, "b": true, "c": true, "d": true}}
+		start := time.Now()
+		g.Expect(w.checker("a", "b", "c", "d").Ended("own")).To(BeFalse())
+		g.Expect(time.Since(start)).To(BeNumerically("<=", compareTime+DefaultDialTimeout+compareInterval))
+	})
+}
