An attempt ends when the endpoint of an earlier one that is still open goes on

What callers saw: 504 at the deadline for a request that may be repeated, or a resumable stream that ends, though the first endpoint was silent for 1.3 s only and then answered.

Cause: an attempt at a silent endpoint stays open while its successor is tried, but nobody reads it meanwhile. If the successor's endpoint is silent for longer (one that is gone, say), the answer lies in the kernel's buffer until the deadline, and is thrown away then.

The look reads one byte at most, and keeps it, and an error, for the next read. All happens in the one goroutine of the call, so that never two attempts deliver.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -37,8 +37,12 @@
 	before *attempt
 	// successor is the outcome of the attempt that has taken over, if one has.
 	successor *outcome
-	// silent is true once the endpoint was silent for longer than the limit.
-	silent bool
+	// silenceLimit is when a successor is tried, if there is a limit. silent is true once the
+	// endpoint was silent for longer.
+	silenceLimit time.Time
+	silent       bool
+	// yielded is true once the attempt has ended since an earlier one goes on.
+	yielded bool
 	// firstEvent is when the first event of the answer arrived; zero before. survived is true
 	// once the endpoint is known to have survived the beginning of the answer.
 	firstEvent time.Time
@@ -195,7 +199,7 @@
 // handleNoResponse handles a failure before the response began.
 func (a *attempt) handleNoResponse(ctx context.Context, err error) outcome {
 	g := a.gateway
-	if ctx.Err() != nil {
+	if a.abandoned(ctx) {
 		a.placement.Abandoned()
 		return outcome{state: stateUnknown, reason: "no answer in time", err: err}
 	}
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -109,7 +109,7 @@
 // handleTruncated handles a response that ended early, before any of it was
 // forwarded.
 func (a *attempt) handleTruncated(ctx context.Context, err error) outcome {
-	if ctx.Err() == nil {
+	if !a.abandoned(ctx) {
 		a.recordBreak(err)
 		a.placement.Endpoint.RecordFailure(a.gateway.Now())
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -125,7 +125,7 @@
 
 // failStream handles a stream that ended early.
 func (a *attempt) failStream(ctx context.Context, err error) outcome {
-	if ctx.Err() == nil {
+	if !a.abandoned(ctx) {
 		a.recordBreak(err)
 		a.placement.Endpoint.RecordUnreachable(a.gateway.Now())
 	}
--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -14,24 +14,67 @@
 // limitSilence limits the wait for more of the response to d. After it, a successor is tried on
 // another endpoint while this attempt stays open: the silent endpoint may be sound.
 func (a *attempt) limitSilence(d time.Duration) {
+	a.silenceLimit = a.gateway.Now().Add(d)
 	// An error shows in the next read.
-	_ = a.conn.SetReadLimit(a.gateway.Now().Add(d), a.endSilence)
+	_ = a.conn.SetReadLimit(a.nextCheck(), a.endSilence)
 }
 
-// waitWithoutLimit lets only the context of the call end the wait for more of the response.
+// nextCheck returns when endSilence is called next: at the limit, or sooner to look at the
+// attempts before this one that are open.
+func (a *attempt) nextCheck() time.Time {
+	check := a.gateway.Now().Add(successorInterval)
+	if a.call.open == nil || a.silenceLimit.Before(check) {
+		return a.silenceLimit
+	}
+	return check
+}
+
+// waitWithoutLimit lets only the context of the call, and an attempt before this one that gets
+// more of its response, end the wait for more of the response.
 func (a *attempt) waitWithoutLimit() {
 	// An error shows in the next read.
-	_ = a.conn.SetReadDeadline(time.Time{})
+	if a.call.open == nil {
+		_ = a.conn.SetReadDeadline(time.Time{})
+		return
+	}
+	_ = a.conn.SetReadLimit(a.gateway.Now().Add(successorInterval), a.checkEarlier)
+}
+
+// checkEarlier is endSilence for an attempt that has no limit.
+func (a *attempt) checkEarlier() time.Time {
+	if a.yields() {
+		return time.Time{}
+	}
+	return a.gateway.Now().Add(successorInterval)
 }
 
+// yields reports whether this attempt ends since the endpoint of one before it, which is still
+// open, has gone on.
+func (a *attempt) yields() bool {
+	for earlier := a.call.open; earlier != nil && !a.yielded; earlier = earlier.before {
+		a.yielded = earlier.conn.InputWaits()
+	}
+	return a.yielded
+}
+
+// abandoned reports whether the attempt's failure says nothing about its endpoint.
+func (a *attempt) abandoned(ctx context.Context) bool { return ctx.Err() != nil || a.yielded }
+
 // endSilence is called when the wait for more of the response has reached its limit. It returns
-// the time at which to decide again, or the zero time if a successor has taken over.
+// the time at which to decide again, or the zero time if a successor has taken over or an earlier
+// attempt goes on.
 func (a *attempt) endSilence() time.Time {
+	if a.yields() {
+		return time.Time{}
+	}
+	if a.gateway.Now().Before(a.silenceLimit) {
+		return a.nextCheck()
+	}
 	if !a.silent {
 		a.silent = true
 		a.placement.Endpoint.RecordUnreachable(a.gateway.Now())
 	}
-	if p := a.findSuccessor(); p != nil && a.trySuccessor(p) {
+	if p := a.findSuccessor(); p != nil && (a.trySuccessor(p) || a.yields()) {
 		return time.Time{}
 	}
 	return a.gateway.Now().Add(successorInterval)
@@ -100,5 +143,8 @@
 	if a.successor != nil {
 		return *a.successor
 	}
+	if a.yielded {
+		last.reason = "earlier attempt goes on"
+	}
 	return last
 }
--- a/pkg/upstream/readlimit.go
+++ b/pkg/upstream/readlimit.go
@@ -7,17 +7,23 @@
 	"time"
 )
 
+// inputCheckTime is how long a check for input waits for it.
+const inputCheckTime = time.Millisecond
+
 // deadlineReader reads from a connection, and asks what to do when its read deadline passes.
 type deadlineReader struct {
 	net.Conn
 	// onTimeout returns the next deadline; the zero time ends the read. nil ends it, too.
 	onTimeout func() time.Time
+	// ahead holds the byte, and aheadErr the error, that a check for input has read.
+	ahead    []byte
+	aheadErr error
 }
 
 // Read implements io.Reader.
 func (r *deadlineReader) Read(b []byte) (int, error) {
 	for {
-		n, err := r.Conn.Read(b)
+		n, err := r.readOnce(b)
 		if n > 0 || r.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -31,6 +37,40 @@
 	}
 }
 
+// readOnce returns what a check for input has read, or else reads.
+func (r *deadlineReader) readOnce(b []byte) (int, error) {
+	if len(r.ahead) > 0 {
+		n := copy(b, r.ahead)
+		r.ahead = r.ahead[n:]
+		return n, nil
+	}
+	if r.aheadErr != nil {
+		return 0, r.aheadErr
+	}
+	return r.Conn.Read(b)
+}
+
+// inputWaits reports whether there is input. It changes the read deadline.
+func (r *deadlineReader) inputWaits() bool {
+	if len(r.ahead) > 0 || r.aheadErr != nil {
+		return len(r.ahead) > 0
+	}
+	if err := r.SetReadDeadline(time.Now().Add(inputCheckTime)); err != nil {
+		return false
+	}
+	var b [1]byte
+	n, err := r.Conn.Read(b[:])
+	r.ahead = b[:n]
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		r.aheadErr = err
+	}
+	return n > 0
+}
+
+// InputWaits reports whether the endpoint has sent more while a read of the connection is held up
+// by the function given to SetReadLimit. It must not be called at another time.
+func (c *Conn) InputWaits() bool { return c.reader.inputWaits() }
+
 // SetReadDeadline implements net.Conn. A read that isn't done by then fails.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.reader.onTimeout = nil
