A successor's retry is deducted when its request is sent

What callers saw: after a fault of the links in which nothing could be sent, requests that may be repeated ended with 502, as the retry budget was used up.

Cause: a request that waits for a silent endpoint looks for a successor four times a second. Each was deducted from the budget, also where its endpoint could not be reached and nothing was sent, which elsewhere (stateUnsent) costs none. A successor that answered with an error was deducted once more, for an attempt that isn't made as long as the earlier one is open.

Evidence, before: TestGateway_DeductsNothingForSuccessorThatIsNotReached deducted 2 for no send; TestGateway_DeductsOneRetryForEachFurtherSend 3 for 2. The 502 itself follows from the code and was not played.

Why this works: the deduction stands beside the send. A successor without one is unsent, and its connection is kept.

Measured: 0 and 2.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -99,6 +99,10 @@
 		a.reusable = true // nothing was sent, so the connection can be reused
 		return outcome{state: stateUnsent, reason: "deadline passed"}
 	}
+	if a.call.open != nil && !g.Retries.Allow(a.service) {
+		a.reusable = true
+		return outcome{state: stateUnsent, reason: "retry budget used up"}
+	}
 	if a.firstSend() {
 		g.Retries.RecordFirstSend(a.service)
 	}
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -101,9 +101,16 @@
 }
 
 // mayRetryFailure reports whether a request that an endpoint answered with an
-// error may be retried, and if so deducts the retry from the budget.
+// error may be retried, and if so deducts the retry from the budget. If an earlier attempt is
+// open, that one goes on, and deducts its next successor itself.
 func (a *attempt) mayRetryFailure() bool {
-	return a.route.Repeatable() && a.possibleRuns < a.maxRuns && a.gateway.Retries.Allow(a.service)
+	if !a.route.Repeatable() || a.possibleRuns >= a.maxRuns {
+		return false
+	}
+	if a.call.open != nil {
+		return a.gateway.Retries.Available(a.service)
+	}
+	return a.gateway.Retries.Allow(a.service)
 }
 
 // handleTruncated handles a response that ended early, before any of it was
--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -80,23 +80,15 @@
 	return a.gateway.Now().Add(successorInterval)
 }
 
-// findSuccessor takes a slot for another attempt of the call, and deducts it from the retry
-// budget. It returns nil if no attempt is permitted or no slot is free.
+// findSuccessor takes a slot for another attempt of the call. It returns nil if no attempt is
+// permitted or no slot is free. The retry is deducted from the budget when the request is sent.
 func (a *attempt) findSuccessor() *schedule.Placement {
 	g := a.gateway
 	if a.ctx.Err() != nil || a.deadline.Sub(g.Now()) < minTimeLeft || !a.mayRunAgain() || !g.Retries.Available(a.service) {
 		return nil
 	}
 	a.exclude(a.placement.Endpoint.ID)
-	p := g.Placer.TryPlace(a.placementRequest())
-	if p == nil {
-		return nil
-	}
-	if !g.Retries.Allow(a.service) {
-		p.End()
-		return nil
-	}
-	return p
+	return g.Placer.TryPlace(a.placementRequest())
 }
 
 // trySuccessor makes another attempt of the call. It reports whether that one has taken over:
