startup: a held request whose caller closes its side ends without an answer

What callers saw: a caller that closes its side of the connection for writing while its request is held just after a process's start got an empty 200.

Cause: net/http cancels the request's context at the end of the caller's bytes, and answers 200 for a handler that returns without having written anything.

Evidence: TestGate_AnswersNoSuccessOfItsOwn got "HTTP/1.1 200 OK, Content-Length: 0" before.

Why this works: the handler is aborted, as the gateway aborts it for a caller that has left; the connection is closed without an answer.

TestGate_DropsRequestsOfCallersThatLeft expects the abort besides what it checked.

--- a/pkg/startup/gate.go
+++ b/pkg/startup/gate.go
@@ -41,7 +41,7 @@
 		arrived := g.Now()
 		for !g.isOpen() {
 			if !sleep.For(r.Context(), holdCheckInterval) {
-				return
+				panic(http.ErrAbortHandler) // a return would answer with an empty success
 			}
 		}
 		next.ServeHTTP(w, r.WithContext(g.WithArrival(r.Context(), arrived)))
