A stream that a peer has begun ends with its connection when no peer goes on with it

What callers saw: at an instance that reaches no endpoint, the text of a refusal ("no endpoint of the version that began the stream") in the middle of a stream, which then ended as if complete; or a stream that went on at another version of the endpoints' software.

Cause: when the peer that had begun the stream ended and no other took it, the call went on as one that had not begun: the check of the stream's origin could refuse it, and without a caller's own resumption nothing was known of the build.

Evidence, both failed before: TestGateway_RefusesNoForwardedStreamThatHasBegun (four events, then the JSON text) and TestGateway_ContinuesForwardedStreamAtNoOtherVersion (not aborted: it went on at the other version).

Why this works: the instance doesn't know the build of a stream that a peer began, so it closes the caller's connection, and the caller resumes by the usual way, which finds the build. A stream that began at this instance may go on here as before.

Measured: both pass, as do the tests of platform with CutOff, PromisesWhenForw, Forward or WaitsFor in their names.

--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -52,23 +52,35 @@
 	if !c.mayForward() {
 		return false
 	}
+	last, taken := c.forwardToPeers(ctx)
+	if taken || !c.beganElsewhere() {
+		return taken
+	}
+	c.finish(ctx, last)
+	return true
+}
+
+// beganElsewhere reports whether a peer has begun the stream. This instance doesn't know at which
+// build, and so can't go on with it.
+func (c *call) beganElsewhere() bool { return c.headerSent && c.build == 0 }
+
+// forwardToPeers has one of some peers process the call. It reports whether the call is finished,
+// and otherwise the last outcome.
+func (c *call) forwardToPeers(ctx context.Context) (last outcome, done bool) {
 	peers := c.gateway.Peers.Reaching(c.service)
-	for range maxForwards {
-		if len(peers) == 0 {
-			return false
-		}
+	for range min(maxForwards, len(peers)) {
 		i := min(int(c.gateway.Random()*float64(len(peers))), len(peers)-1)
-		last := c.forwardTo(ctx, peers[i])
+		last = c.forwardTo(ctx, peers[i])
 		peers = slices.Delete(peers, i, i+1)
 		if last.done {
-			return true
+			return last, true
 		}
 		if last.state == stateUnknown && (ctx.Err() != nil || !last.retryPermitted && !c.mayRetry(last)) {
 			c.finish(ctx, last)
-			return true
+			return last, true
 		}
 	}
-	return false
+	return last, false
 }
 
 // mayForward reports whether a peer may take the call over: it is a caller's own, there is time,
