An answer that has arrived counts though its limit passed while the process stood still

What callers saw: nothing when all went well; else, after a moment in which the instance had no processor time, requests that may be repeated ran once more and streams were resumed elsewhere for nothing, their endpoints got no new requests, and where the second attempt failed the request ended without the answer that had been there.

Cause: a read whose deadline has passed fails though its bytes are in the kernel's buffer. Our limits took that for a silence of the endpoint.

Evidence: TestConn_TakesAnswerThatArrivedBeforeLimitWasSeen (the answer is in the kernel's buffer, the limit is a second ago) called the endpoint silent before. What callers saw follows from the code and was not played.

Measured: the test passes, as do pkg/upstream, pkg/gateway and the tests of platform with TestGateway_, Silent, Repeat, Endless, Unframed, Stale, Resum, Stream or Leaving in their names.

--- a/pkg/upstream/readlimit.go
+++ b/pkg/upstream/readlimit.go
@@ -27,6 +27,11 @@
 		if n > 0 || r.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
+		// The deadline may have passed while the process stood still: what arrived before it
+		// was seen counts.
+		if r.inputWaits() || r.aheadErr != nil {
+			continue
+		}
 		next := r.onTimeout()
 		if next.IsZero() {
 			return n, err
--- a/pkg/upstream/silence_test.go
+++ b/pkg/upstream/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -116,3 +117,38 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Consistently(c.Unacknowledged).Should(BeTrue())
 }
+
+// Guards against an endpoint that is taken for silent, and an answer that is thrown away, since the
+// instance itself stood still until the limit had passed: the answer had arrived.
+func TestConn_TakesAnswerThatArrivedBeforeLimitWasSeen(t *testing.T) {
+	g := NewWithT(t)
+	answered := make(chan struct{})
+	s := serve(t, func(_ int64, c net.Conn) bool {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		close(answered)
+		return true
+	})
+	c, err := newPool(time.Now).Get(context.Background(), s.addr())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	<-answered
+	g.Eventually(func() int { return receivedBytes(g, c) }).Should(BeNumerically(">", 0))
+	silent := false
+	g.Expect(c.SetReadLimit(time.Now().Add(-time.Second), func() time.Time { silent = true; return time.Time{} })).To(Succeed())
+	resp, err := http.ReadResponse(c.br, nil)
+	g.Expect(silent).To(BeFalse())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+}
+
+// receivedBytes returns the number of bytes that the kernel has received on a connection.
+func receivedBytes(g *WithT, c *Conn) (n int) {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	g.Expect(err).NotTo(HaveOccurred())
+	var optErr error
+	g.Expect(raw.Control(func(fd uintptr) { n, optErr = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })).To(Succeed())
+	g.Expect(optErr).NotTo(HaveOccurred())
+	return n
+}
