--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -38,8 +38,12 @@
 	before *attempt
 	// successor is the outcome of the attempt that has taken over, if one has.
 	successor *outcome
-	// silent is true once the endpoint was silent for longer than the limit.
-	silent bool
+	// silenceLimit is when a successor is tried, if there is a limit. silent is true once the
+	// endpoint was silent for longer.
+	silenceLimit time.Time
+	silent       bool
+	// yielded is true once the attempt has ended since an earlier one goes on.
+	yielded bool
 	// firstEvent is when the first event of the answer arrived; zero before. survived is true
 	// once the endpoint is known to have survived the beginning of the answer.
 	firstEvent time.Time
@@ -96,6 +100,10 @@
 		a.reusable = true // nothing was sent, so the connection can be reused
 		return outcome{state: stateUnsent, reason: "deadline passed"}
 	}
+	if a.call.open != nil && !g.Retries.Allow(a.service) {
+		a.reusable = true
+		return outcome{state: stateUnsent, reason: "retry budget used up"}
+	}
 	if a.firstSend() {
 		g.Retries.RecordFirstSend(a.service)
 	}
@@ -203,13 +211,15 @@
 	if a.silent || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		g.Overload.Unanswered(a.placement.Endpoint)
 	}
-	if ctx.Err() != nil {
+	if a.abandoned(ctx) {
 		a.placement.Abandoned()
 		return outcome{state: stateUnknown, reason: "no answer in time", err: err}
 	}
 	a.recordBreak(err)
 	a.placement.Endpoint.RecordUnreachable(g.Now())
-	g.Reach.Missed(a.service, a.placement.Endpoint.ID)
+	if !isTimeout(err) {
+		g.Reach.Missed(a.service, a.placement.Endpoint.ID)
+	}
 	g.Pool.CloseIdle(a.placement.Endpoint.Addr)
 	g.Log.Debug("failed to receive response from endpoint", "request", a.meta.ID, "endpoint", a.placement.Endpoint.ID, "error", err.Error(), "reused", a.conn.Reused())
 	return outcome{state: stateUnknown, reason: "connection failed", err: err}
--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -119,11 +119,16 @@
 	}
 }
 
+// isTimeout reports whether a limit on time has ended a read or write.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // recordBreak records that the connection broke with an error before the answer was
 // complete. A timeout isn't one.
 func (a *attempt) recordBreak(err error) {
-	var netErr net.Error
-	if err == nil || errors.As(err, &netErr) && netErr.Timeout() {
+	if err == nil || isTimeout(err) {
 		return
 	}
 	if !a.firstEvent.IsZero() && a.gateway.Now().Sub(a.firstEvent) >= survivalTime {
