Requests that are in progress at the end of a grace period get an answer

Callers saw: neither an answer nor a refusal at the end of a planned stop, where their endpoint was silent. Cause: the drain gave up at the end of the grace period, and the end of the process closed the callers' connections. That the process's exit closes their connections is from reading. Change: the requests end as at their deadline, with an answer that says whether they may have run, within 100 ms of the margin that is kept for the end of the process.

--- a/cmd/medlarsill-gateway/cutoff_test.go
+++ b/cmd/medlarsill-gateway/cutoff_test.go
@@ -41,10 +41,16 @@
 
 // startBehind starts a process whose connections to endpoints go over a link.
 func (s *testPlatform) startBehind(t *testing.T, id string, link *endpointLink) *gatewayProcess {
+	t.Helper()
+	return s.startDialing(t, id, link.dial)
+}
+
+// startDialing starts a process that opens its connections to endpoints by a function.
+func (s *testPlatform) startDialing(t *testing.T, id string, dial func(ctx context.Context, addr string) (net.Conn, error)) *gatewayProcess {
 	t.Helper()
 	out := logging.NewAsync(s.log)
 	p := &gatewayProcess{process: newProcess(s.settings(id), "", slog.New(slog.NewJSONHandler(out, nil))), done: make(chan struct{})}
-	p.pool.Dial = link.dial
+	p.pool.Dial = dial
 	s.g.Expect(p.listen(t.Context())).To(Succeed())
 	go func() {
 		defer close(p.done)
--- a/cmd/medlarsill-gateway/stop.go
+++ b/cmd/medlarsill-gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"os"
 	"os/signal"
@@ -22,6 +23,9 @@
 	lameDuckPeriod = 2500 * time.Millisecond
 	// leaveTimeout limits the messages to the peers at the end of a planned stop.
 	leaveTimeout = 100 * time.Millisecond
+	// answerTimeout limits the answers to the requests that are in progress at the end of the grace
+	// period.
+	answerTimeout = 100 * time.Millisecond
 	// stopMargin is the part of the grace period that is reserved for ending the process.
 	stopMargin = 300 * time.Millisecond
 )
@@ -80,6 +84,17 @@
 	if err := p.forwarded.Shutdown(ctx); err != nil {
 		p.log.Warn("grace period ended with forwarded requests in progress", "active", p.gateway.Active(), "error", err.Error())
 	}
+	p.endRequests()
+}
+
+// endRequests answers the requests that are still in progress.
+func (p *process) endRequests() {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	p.gateway.EndRequests()
+	if err := errors.Join(p.ingress.Drain(ctx), p.forwarded.Shutdown(ctx)); err != nil {
+		p.log.Warn("requests not ended in time", "active", p.gateway.Active(), "error", err.Error())
+	}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -139,10 +139,20 @@
 	largeResponses sync.Map
 	stopping       atomic.Bool
 	active         atomic.Int64
+	// life ends, by end, when no request may go on.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // New returns a gateway.
-func New(o Options) *Gateway { return &Gateway{Options: o} }
+func New(o Options) *Gateway {
+	life, end := context.WithCancel(context.Background())
+	return &Gateway{Options: o, life: life, end: end}
+}
+
+// EndRequests ends all requests, those in progress as at their deadline: each gets an answer that
+// says whether it may have run, unless a part of its answer was sent.
+func (g *Gateway) EndRequests() { g.end() }
 
 // Stop makes the gateway close each caller's connection after its next response.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
@@ -171,6 +181,7 @@
 	c.applyForwarding(f)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.life, cancel)()
 	if g.Reach.CutOff(c.service) {
 		if c.forwarded {
 			c.endProbe()
