--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -31,8 +31,8 @@
 
 // Peers knows the other instances.
 type Peers interface {
-	// Reaching returns the addresses of the reachable ready peers that say of no service of this
-	// name that it is cut off.
+	// Reaching returns the addresses of the reachable ready peers that don't say that the service
+	// is cut off.
 	Reaching(service string) []string
 }
 
--- a/pkg/gateway/successor.go
+++ b/pkg/gateway/successor.go
@@ -7,8 +7,8 @@
 	"github.com/medlarsill/medlarsill/pkg/schedule"
 )
 
-// successorInterval is the time after which a request that waits for a silent endpoint looks
-// for another one again.
+// successorInterval is the time between two looks, of a request that waits for a silent endpoint,
+// for another one, and for input of earlier attempts that are open.
 const successorInterval = 250 * time.Millisecond
 
 // limitSilence limits the wait for more of the response to d. After it, a successor is tried on
