--- a/pkg/endpoints/health.go
+++ b/pkg/endpoints/health.go
@@ -20,16 +20,13 @@
 	// the pause after the newest one.
 	transportFailures int
 	pausedUntil       time.Time
-	// lastFailure is the time of the newest failure.
-	lastFailure time.Time
 }
 
 // RecordFailure records an answer that counts as a failure of the endpoint.
-func (e *Endpoint) RecordFailure(now time.Time) {
+func (e *Endpoint) RecordFailure() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.health.failureRate += failureWeight * (1 - e.health.failureRate)
-	e.health.lastFailure = now
 }
 
 // RecordUnreachable records a transport failure: the endpoint could not be reached or
@@ -39,7 +36,6 @@
 	defer e.mu.Unlock()
 	h := &e.health
 	h.failureRate += failureWeight * (1 - h.failureRate)
-	h.lastFailure = now
 	h.transportFailures++
 	h.pausedUntil = now.Add(h.pauseLength())
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -126,7 +126,7 @@
 	}
 	if !meta.Stamped && resp.StatusCode < http.StatusMultipleChoices {
 		a.conn.DisableReuse()
-		a.placement.Endpoint.RecordFailure(g.Now())
+		a.placement.Endpoint.RecordFailure()
 		return outcome{state: stateUnknown, reason: "answer without proof"}
 	}
 	return a.relay(ctx, resp)
@@ -269,7 +269,7 @@
 // relay forwards the response to the caller.
 func (a *attempt) relay(ctx context.Context, resp *http.Response) outcome {
 	if resp.StatusCode >= http.StatusInternalServerError && a.route.Kind != routing.Stream {
-		a.placement.Endpoint.RecordFailure(a.gateway.Now())
+		a.placement.Endpoint.RecordFailure()
 	}
 	if a.isStream() && resp.StatusCode < http.StatusMultipleChoices {
 		return a.relayStream(ctx, resp)
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -28,7 +28,7 @@
 	response := &bufferedResponse{status: resp.StatusCode, header: g.Protocol.ResponseHeader(resp.Header), body: head, endpoint: a.placement.Endpoint.ID}
 	if len(head) > maxBufferedBytes {
 		if a.mayBeEndless(resp) {
-			a.placement.Endpoint.RecordFailure(g.Now())
+			a.placement.Endpoint.RecordFailure()
 			return outcome{state: stateUnknown, reason: "answer without end"}
 		}
 		response.rest = resp.Body
@@ -118,7 +118,7 @@
 func (a *attempt) handleTruncated(ctx context.Context, err error) outcome {
 	if !a.abandoned(ctx) {
 		a.recordBreak(err)
-		a.placement.Endpoint.RecordFailure(a.gateway.Now())
+		a.placement.Endpoint.RecordFailure()
 	}
 	return outcome{state: stateUnknown, reason: "answer broke off", err: err}
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -35,7 +35,7 @@
 // response without an event does: where the stream has ended, its endpoint says so after the last.
 func (a *attempt) failResumption() outcome {
 	a.conn.DisableReuse()
-	a.placement.Endpoint.RecordFailure(a.gateway.Now())
+	a.placement.Endpoint.RecordFailure()
 	return outcome{state: stateUnknown, reason: "stream not resumed"}
 }
 
