--- a/review/harness/cloud.go
+++ b/review/harness/cloud.go
@@ -56,12 +56,12 @@
 	if err != nil {
 		return
 	}
-	fence, err := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
+	fence, err := strconv.ParseUint(r.Header.Get(header("token")), 10, 64)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	call := dutyCall{at: time.Now(), holder: r.Header.Get("X-Duty-Holder"), fence: fence, duty: r.URL.Path, body: string(bytes.TrimSpace(body))}
+	call := dutyCall{at: time.Now(), holder: r.Header.Get(header("holder")), fence: fence, duty: r.URL.Path, body: string(bytes.TrimSpace(body))}
 	status := http.StatusOK
 	if r.URL.Path == "/scale" {
 		var order struct {
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -242,12 +242,3 @@
 	}
 	return fmt.Errorf("%s isn't ready after %v; see %s", g.name, readyLimit, g.log)
 }
-
-// config returns a configuration with one service, which is scaled if scaling isn't empty.
-func config(version int, kind, scaling string) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[
- {"name":"plain","host":"a.example","pathPrefix":"/plain/","kind":%q,"timeoutMs":1500,"targetLatencyMs":100,"priority":1,"service":"s1","maxAttempts":1}],
- "services":[{"name":"s1","maxConns":96%s}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"w1","apiKeys":["k1"],"unit":"token_count","plainTokens":200,"ratePerS":100000,"burst":400000}]}`, version, kind, scaling)
-}
--- a/review/harness/foreign_entry.go
+++ b/review/harness/foreign_entry.go
@@ -41,7 +41,7 @@
 			leaving = s
 		}
 	}
-	d.store.Put("config", "main", config(3, "non_idempotent", ""))
+	d.setConfig("plain")
 	if err := d.startAll(); err != nil {
 		return nil, err
 	}
--- a/review/harness/poison_kill.go
+++ b/review/harness/poison_kill.go
@@ -36,7 +36,7 @@
 		s.deadly, s.work = deadly, longWork
 		servers = append(servers, s)
 	}
-	d.store.Put("config", "main", config(3, "non_idempotent", ""))
+	d.setConfig("plain")
 	if err := d.startAll(); err != nil {
 		return nil, err
 	}
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -81,7 +81,7 @@
 
 // registration returns the server's entry, without its last brace.
 func (s *server) registration(state string) string {
-	return fmt.Sprintf(`{"service":"s1","address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"coldRemainingMs":0,"sequence":1`, s.addr, s.zone, s.version, slots, state)
+	return fmt.Sprintf(wireText("entry.txt"), s.addr, s.zone, s.version, slots, state)
 }
 
 // register writes the server's entry.
@@ -142,20 +142,20 @@
 		return
 	}
 	h := w.Header()
-	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	h.Set(header("request id"), r.Header.Get(header("request id")))
 	h.Set("Keep-Alive", "timeout=10")
 	s.mu.Lock()
 	leaving, deadly := s.leaving, s.deadly
 	s.mu.Unlock()
 	if leaving {
-		h.Set("Server-Leaving", "1")
+		h.Set(header("leaving"), "1")
 	}
-	if r.Header.Get("X-Expect-Instance") != s.id {
-		h.Set("X-Not-Run", "1")
+	if r.Header.Get(header("expected server")) != s.id {
+		h.Set(header("not run"), "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	a := arrival{at: time.Now(), server: s.id, id: r.Header.Get("X-Request-Id"), uri: r.RequestURI, body: string(body), tenant: r.Header.Get("X-Tenant")}
+	a := arrival{at: time.Now(), server: s.id, id: r.Header.Get(header("request id")), uri: r.RequestURI, body: string(body), tenant: r.Header.Get(header("tenant"))}
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, a)
 	s.mu.Unlock()
@@ -164,7 +164,7 @@
 		s.crashFor(backAfter)
 		return
 	}
-	h.Set("X-Response-Stamp", "stamp-of-"+s.id)
+	h.Set(header("proof"), "stamp-of-"+s.id)
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
 		s.stream(w, r)
 		return
@@ -201,8 +201,8 @@
 		return a
 	}
 	req.Host = "a.example"
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", deadlineMS)
+	req.Header.Set(header("request id"), id)
+	req.Header.Set(header("time left"), deadlineMS)
 	req.Header.Set("Authorization", "Token k1")
 	resp, err := client.Do(req)
 	a.doneAt = time.Now()
@@ -212,8 +212,8 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	a.status, a.stamp, a.body, a.err = resp.StatusCode, resp.Header.Get("X-Response-Stamp"), string(data), err
-	a.leaving = resp.Header.Get("Server-Leaving") != ""
+	a.status, a.stamp, a.body, a.err = resp.StatusCode, resp.Header.Get(header("proof")), string(data), err
+	a.leaving = resp.Header.Get(header("leaving")) != ""
 	return a
 }
 
--- a/review/harness/stale_order.go
+++ b/review/harness/stale_order.go
@@ -31,7 +31,7 @@
 			return nil, err
 		}
 	}
-	d.store.Put("config", "main", config(3, "non_idempotent", `,"scaling":{"min":1,"max":6,"bootS":4,"spotPrice":0.22,"zonePrices":{"dc-a":1,"dc-b":0.8}}`))
+	d.setConfig("scaled")
 	if err := d.startAll(); err != nil {
 		return nil, err
 	}
--- a/review/harness/upgrade.go
+++ b/review/harness/upgrade.go
@@ -49,7 +49,7 @@
 		}
 		servers = append(servers, s)
 	}
-	d.store.Put("config", "main", streamConfig(3))
+	d.setConfig("streams")
 	if err := d.startAll(); err != nil {
 		return nil, err
 	}
@@ -132,13 +132,6 @@
 	}
 }
 
-// streamConfig returns a configuration with a route for streams that may be resumed.
-func streamConfig(version int) string {
-	plain := config(version, "streaming", "")
-	return strings.NewReplacer(`"name":"plain"`, `"name":"streams"`, `/plain/`, `/stream/`, `"timeoutMs":1500`, `"timeoutMs":15000`,
-		`"maxAttempts":1`, `"maxAttempts":2,"streamResume":true,"gapTargetMs":250`).Replace(plain)
-}
-
 // mixedStreams holds the streams with events of several versions.
 type mixedStreams struct {
 	mu   sync.Mutex
@@ -180,8 +173,8 @@
 		return 0, nil, false, 0
 	}
 	req.Host = "a.example"
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", deadlineMS)
+	req.Header.Set(header("request id"), id)
+	req.Header.Set(header("time left"), deadlineMS)
 	req.Header.Set("Authorization", "Token k1")
 	resp, err := client.Do(req)
 	if err != nil {
