review: case 3, streams taken up at the one instance that is left

Five of six instances are killed for 2 s. Callers take their streams up at the sixth, which keeps to a sixth of the tenant's limit and refuses most of them.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,7 +24,7 @@
 	"foreign-entry": foreignEntry,
 	"poison-kill":   poisonKill,
 	"upgrade":       upgradeInPlace,
-	"isolated":      isolated,
+	"survivor":      survivor,
 }
 
 func main() { os.Exit(run()) }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -33,6 +33,8 @@
 	zone     string
 	// work is how long a request takes.
 	work time.Duration
+	// gap is the time between two events of a stream.
+	gap time.Duration
 
 	mu       sync.Mutex
 	born     int64
@@ -49,7 +51,7 @@
 
 // newServer starts a server and registers it.
 func (d *deployment) newServer(id, zone string) (*server, error) {
-	s := &server{d: d, id: id, zone: zone, version: "v1", work: 5 * time.Millisecond}
+	s := &server{d: d, id: id, zone: zone, version: "v1", work: 5 * time.Millisecond, gap: eventGap}
 	if err := s.listen("127.0.0.1:0"); err != nil {
 		return nil, err
 	}
--- a/review/harness/upgrade.go
+++ b/review/harness/upgrade.go
@@ -125,7 +125,7 @@
 			return
 		}
 		select {
-		case <-time.After(eventGap):
+		case <-time.After(s.gap):
 		case <-r.Context().Done():
 			return
 		}
