--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,9 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 it
+# does the same without the disruption.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/harness ] && [ -x ../../target/medlarsill-gateway ] || { echo "build first"; exit 2; }
-exec ../bin/harness stale-order ../.. record.txt
+case "${TROUBLE:-1}" in
+0) exec ../bin/harness stale-order without-disruption ../.. record.txt ;;
+*) exec ../bin/harness stale-order with-disruption ../.. record.txt ;;
+esac
--- a/review/harness/stale_order.go
+++ b/review/harness/stale_order.go
@@ -17,7 +17,7 @@
 	afterHeal = 8 * time.Second
 )
 
-// staleOrder cuts the holder of the duties off from the platform while it repeats an order each
+// staleOrder cuts the holder of the duties off, from the platform and from its peer, while it repeats an order each
 // second, as the platform has none of the cheap servers at the moment. The other instance takes the
 // duties over. Rule ONE.
 func staleOrder(d *deployment, trouble bool) ([]string, error) {
@@ -32,6 +32,10 @@
 		}
 	}
 	d.setConfig("scaled")
+	links, err := d.linkPeers(1)
+	if err != nil {
+		return nil, err
+	}
 	if err := d.startAll(); err != nil {
 		return nil, err
 	}
@@ -41,15 +45,17 @@
 	}
 	time.Sleep(cutAfter)
 	if trouble {
-		d.note("%s is cut off from the platform", holder.name)
+		d.note("%s is cut off", holder.name)
+		links.setCut(true)
 		holder.storeLink.setCut(true)
 		holder.cloudLink.setCut(true)
 	}
 	time.Sleep(cutTime)
 	if trouble {
+		links.setCut(false)
 		holder.storeLink.setCut(false)
 		holder.cloudLink.setCut(false)
-		d.note("%s reaches the platform again", holder.name)
+		d.note("the cut of %s ends", holder.name)
 	}
 	time.Sleep(afterHeal)
 	return staleCalls(d.cloud.received(), func(name string) time.Time {
