sharedwatch: a relay whose calls fail or last follows the other relays

Cause: a relay listened to its own watch alone, and after a failed call asked only for the whole list, while the other relays broadcast what it lacked. Change: a relay takes what others broadcast 0.3 s before its own watch is answered; after a failed call an instance goes on with the relays' batches from its caller's position while they are heard. The property test also checks that no instance goes back to an older state.

--- a/pkg/sharedwatch/feed.go
+++ b/pkg/sharedwatch/feed.go
@@ -25,6 +25,10 @@
 	// relaysUnreachable is true while followers watch the store directly because no
 	// batches are received.
 	relaysUnreachable bool
+	// following is true while this instance follows the relays since its own calls fail.
+	following bool
+	// position is the one up to which the watching caller knew the changes at its last call.
+	position uint64
 	// known holds the large values that this instance has received.
 	known *knownValues
 }
@@ -109,3 +113,31 @@
 	f.relaysUnreachable = unreachable
 	return changed
 }
+
+// setFollowing records whether this instance follows the relays since its own calls fail, and
+// reports whether that has changed.
+func (f *feed) setFollowing(following bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := f.following != following
+	f.following = following
+	return changed
+}
+
+// setPosition records the position up to which the watching caller knows the changes. A caller
+// whose last call has failed asks for the whole list, at position 0, and knows what it did
+// before.
+func (f *feed) setPosition(position uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if position != 0 {
+		f.position = position
+	}
+}
+
+// lastPosition returns the position that setPosition recorded; 0 if none.
+func (f *feed) lastPosition() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.position
+}
--- a/pkg/sharedwatch/fleet_test.go
+++ b/pkg/sharedwatch/fleet_test.go
@@ -50,6 +50,10 @@
 
 	mu      sync.Mutex
 	objects map[string]string
+	// version is the one of the last changes, and regressed is true if changes ever ended before
+	// those that were known.
+	version   uint64
+	regressed bool
 }
 
 // heldStore is a store that ends a watch without changes after the instance's hold time.
@@ -82,6 +86,9 @@
 
 // Get implements objectstore.Store.
 func (h heldStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
+	if h.instance.storeDown.Load() {
+		return objectstore.Object{}, objectstore.ErrUnavailable
+	}
 	o, err := h.Store.Get(ctx, key)
 	h.instance.fleet.readBytes.Add(int64(len(o.Value)))
 	return o, err
@@ -165,6 +172,8 @@
 func (i *instance) apply(c objectstore.Changes, _ bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.regressed = i.regressed || c.Version < i.version
+	i.version = c.Version
 	if c.Reset {
 		clear(i.objects)
 	}
--- a/pkg/sharedwatch/follower.go
+++ b/pkg/sharedwatch/follower.go
@@ -88,6 +88,21 @@
 	return a
 }
 
+// wait returns the first outcome of the watch other than outcomePending, and the progress until
+// then.
+func (f *follower) wait(ctx context.Context, clock func() time.Time) (progress, outcome, error) {
+	for {
+		now := clock()
+		p := f.advance(now)
+		if o := f.outcome(p, now); o != outcomePending {
+			return p, o, nil
+		}
+		if err := waitForChange(ctx, p.changed, f.nextCheck(p).Sub(now)); err != nil {
+			return p, outcomePending, err
+		}
+	}
+}
+
 // waitForChange waits until the channel is closed, the time has passed or the context
 // ends. It returns the context's error.
 func waitForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) error {
--- a/pkg/sharedwatch/relay_test.go
+++ b/pkg/sharedwatch/relay_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package sharedwatch
 
 import (
@@ -65,3 +63,64 @@
 		})
 	}
 }
+
+// Guards against a relay that was without the store and its peers for a moment, missed a call,
+// and from then on asks only for the whole list, which it can't get, while the other relays
+// broadcast each change.
+func TestStore_RelayFollowsAgainAfterItWasCutOffFromAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(40, noLoss)
+		defer f.shutdown()
+		time.Sleep(settleTime)
+		relay := f.instances[1]
+		relay.storeDown.Store(true)
+		relay.isolated.Store(true)
+		time.Sleep(2 * time.Second)
+		relay.isolated.Store(false)
+		f.put("x", "new")
+		time.Sleep(propagationTime)
+		g.Expect(relay.value("x")).To(Equal("new"))
+	})
+}
+
+// Guards against a relay behind a slow link that is late with each change, though another one
+// has broadcast it long before.
+func TestStore_RelayTakesChangeThatItsOwnWatchIsLateWith(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(40, noLoss)
+		defer f.shutdown()
+		time.Sleep(settleTime)
+		relay := f.instances[1]
+		relay.storeHung.Store(true)
+		time.Sleep(shortestMaxHold)
+		f.put("x", "new")
+		time.Sleep(relayPatience + relay.store.maxHold()/2)
+		g.Expect(relay.value("x")).To(Equal("new"))
+	})
+}
+
+// Guards against instances that take an outage of the store for one of their own calls alone:
+// each would wait for the others, and none notice that the store is back.
+func TestStore_AllRelaysNoticeTheEndOfAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(40, noLoss)
+		defer f.shutdown()
+		time.Sleep(settleTime)
+		for n := range 6 {
+			for _, i := range f.instances {
+				i.storeDown.Store(true)
+			}
+			time.Sleep(time.Duration(n) * 400 * time.Millisecond)
+			value := fmt.Sprint("v", n)
+			f.put("x", value)
+			for _, i := range f.instances {
+				i.storeDown.Store(false)
+			}
+			time.Sleep(propagationTime)
+			g.Expect(f.countWith("x", value)).To(Equal(40), "outage %d", n)
+		}
+	})
+}
--- a/pkg/sharedwatch/sharedwatch_test.go
+++ b/pkg/sharedwatch/sharedwatch_test.go
@@ -328,6 +328,11 @@
 			}
 			time.Sleep(defaultHold + propagationTime)
 			synctest.Wait()
+			for _, i := range f.instances {
+				if i.regressed {
+					rt.Errorf("instance of rank %d went back to an older state", i.rank)
+				}
+			}
 			for key := range 4 {
 				name := fmt.Sprint("x", key)
 				o, err := f.store.Get(t.Context(), prefix+name)
--- a/pkg/sharedwatch/store.go
+++ b/pkg/sharedwatch/store.go
@@ -3,7 +3,7 @@
 // In a large fleet the instances with the lowest ranks, the relays, watch the store and
 // broadcast the changes to the others, the followers. A follower that receives nothing
 // from the relays, or misses changes, watches the store directly, as all instances do in
-// a small fleet.
+// a small fleet. A relay whose own calls fail or last follows the other relays.
 package sharedwatch
 
 import (
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
 
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
@@ -47,6 +48,10 @@
 	confirmInterval   = 300 * time.Millisecond
 )
 
+// errOwnWatchLate stands in log lines for a relay's watch that is unanswered while another relay
+// has broadcast changes.
+var errOwnWatchLate = eris.New("sharedwatch: own watch is later than those of other relays")
+
 // Options configures a Store. All fields are required.
 type Options struct {
 	// Store is the underlying object store.
@@ -66,7 +71,8 @@
 }
 
 // Store is an object store whose watches are shared among the instances. All other
-// calls go to the underlying store. It is safe for concurrent use.
+// calls go to the underlying store. It is safe for concurrent use, but only one caller may
+// watch each prefix.
 type Store struct {
 	objectstore.Store
 	options Options
@@ -114,28 +120,18 @@
 // Watch implements objectstore.Store. A follower's watch also returns, without objects,
 // when the relays have confirmed for followTimeout that nothing changed.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (objectstore.Changes, error) {
+	f := s.feed(prefix)
+	f.setPosition(after)
 	if after != 0 {
 		s.awaitMembers(ctx)
 	}
 	if after != 0 && s.isShared() && !s.isRelay() {
-		return s.follow(ctx, prefix, after)
-	}
-	f := s.feed(prefix)
-	if after == 0 || !s.isRelay() {
-		return s.watchDirectly(ctx, f, prefix, after)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	onResponse := func() { go s.confirmWhileReceiving(ctx, prefix, after) }
-	c, err := s.Store.Watch(objectstore.WithOnResponse(ctx, onResponse), prefix, after)
-	if err != nil {
-		return c, err
+		return s.follow(ctx, f, prefix, after)
 	}
-	if !c.Reset && s.isRelay() {
-		s.broadcast(newBatch(prefix, after, c), f.known)
+	if after != 0 && s.isRelay() {
+		return s.watchAsRelay(ctx, f, prefix, after)
 	}
-	f.known.record(c.Objects)
-	return c, nil
+	return s.watchDirectly(ctx, f, prefix, after)
 }
 
 // awaitMembers waits, for a time after the start, while this instance knows no other member or
@@ -152,22 +148,16 @@
 	}
 }
 
-// watchDirectly watches the store without the relays.
+// watchDirectly watches the store without the relays. If that fails, it goes on with what they
+// broadcast.
 func (s *Store) watchDirectly(ctx context.Context, f *feed, prefix string, after uint64) (objectstore.Changes, error) {
 	c, err := s.Store.Watch(ctx, prefix, after)
-	if err == nil {
-		f.known.record(c.Objects)
-	}
-	return c, err
-}
-
-// confirmWhileReceiving tells the followers that this relay reaches the store, until it has
-// received the response to its watch or the context ends.
-func (s *Store) confirmWhileReceiving(ctx context.Context, prefix string, position uint64) {
-	for pause := firstConfirmDelay; sleep.For(ctx, pause); pause = confirmInterval {
-
-		s.broadcast(Batch{Prefix: prefix, From: position, To: position}, nil)
+	if err != nil {
+		return s.followAfterFailure(ctx, f, prefix, err)
 	}
+	s.logFollowing(f, prefix, nil)
+	f.known.record(c.Objects)
+	return c, nil
 }
 
 // broadcast sends a batch to all peers.
@@ -209,32 +199,29 @@
 
 // follow waits for changes from the relays. It watches the store directly if the relays
 // are unreachable or changes are missing.
-func (s *Store) follow(ctx context.Context, prefix string, after uint64) (objectstore.Changes, error) {
-	f := follower{feed: s.feed(prefix), position: after, relayTimeout: s.maxHold(), deadline: s.options.Now().Add(followTimeout)}
-	for {
-		now := s.options.Now()
-		p := f.advance(now)
-		switch f.outcome(p, now) {
-		case outcomeChanged:
-			s.logRelayState(f.feed, prefix, false)
-			objects, err := s.resolve(ctx, f.feed.known, p.changes)
-			return objectstore.Changes{Objects: objects, Version: p.position}, err
-		case outcomeUnchanged:
-			s.logRelayState(f.feed, prefix, false)
-			return objectstore.Changes{Version: p.position}, nil
-		case outcomeIncomplete:
-			s.metrics.direct.WithLabelValues(reasonIncomplete).Inc()
-			return s.watchDirectly(ctx, f.feed, prefix, p.position)
-		case outcomeRelaysUnreachable:
-
-			s.metrics.direct.WithLabelValues(reasonUnreachable).Inc()
-			s.logRelayState(f.feed, prefix, true)
-			return s.watchDirectly(ctx, f.feed, prefix, p.position)
-		}
-		if err := waitForChange(ctx, p.changed, f.nextCheck(p).Sub(now)); err != nil {
-			return objectstore.Changes{}, err
-		}
+func (s *Store) follow(ctx context.Context, f *feed, prefix string, after uint64) (objectstore.Changes, error) {
+	relays := follower{feed: f, position: after, relayTimeout: s.maxHold(), deadline: s.options.Now().Add(followTimeout)}
+	p, o, err := relays.wait(ctx, s.options.Now)
+	if err != nil {
+		return objectstore.Changes{}, err
+	}
+	switch o {
+	case outcomeIncomplete:
+		s.metrics.direct.WithLabelValues(reasonIncomplete).Inc()
+		return s.watchDirectly(ctx, f, prefix, p.position)
+	case outcomeRelaysUnreachable:
+		s.metrics.direct.WithLabelValues(reasonUnreachable).Inc()
+		s.logRelayState(f, prefix, true)
+		return s.watchDirectly(ctx, f, prefix, p.position)
 	}
+	s.logRelayState(f, prefix, false)
+	return s.received(ctx, f, p)
+}
+
+// received returns the changes that a feed has beyond a position.
+func (s *Store) received(ctx context.Context, f *feed, p progress) (objectstore.Changes, error) {
+	objects, err := s.resolve(ctx, f.known, p.changes)
+	return objectstore.Changes{Objects: objects, Version: p.position}, err
 }
 
 // logRelayState logs when the relays become unreachable or reachable again.
