gateway: a stopping process refuses requests that it can't finish

Callers saw: requests that came up to 2.5 s after the signal of a planned stop were taken, passed on, ran, and ended with 504 at the end of the grace period, also those that may not be repeated. Cause: for the time in which the balancer still sends callers, a stopping process took all requests, however long they last. Change: it refuses at once, as not run, what would end less than 0.1 s before the process by the durations of the last 64 answered requests of the route (95 in 100), at its deadline at the latest. A route without answers so far is served as before.

--- a/cmd/medlarsill-gateway/stop.go
+++ b/cmd/medlarsill-gateway/stop.go
@@ -52,9 +52,10 @@
 	case <-p.stopRequested:
 	}
 	p.stopping.Store(true)
-	p.gateway.Stop()
+	end := time.Now().Add(seconds(p.cfg.StopGraceS) - stopMargin)
+	p.gateway.Stop(end)
 	p.log.Info("stopping", "active", p.gateway.Active())
-	p.drain()
+	p.drain(end)
 	p.announceLeave()
 	p.log.Info("stopped", "active", p.gateway.Active())
 	return nil
@@ -71,11 +72,11 @@
 // requestStop requests a planned stop, as a signal does.
 func (p *process) requestStop() { close(p.stopRequested) }
 
-// drain waits for the end of the requests in progress. The listener stays open until
+// drain waits until end for the end of the requests in progress. The listener stays open until
 // the balancer sends callers elsewhere. Then idle connections are closed, as a request
 // that arrived late in the grace period could not finish within it.
-func (p *process) drain() {
-	ctx, cancel := context.WithTimeout(context.Background(), seconds(p.cfg.StopGraceS)-stopMargin)
+func (p *process) drain(end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	sleep.For(ctx, lameDuckPeriod)
 	if err := p.ingress.Drain(ctx); err != nil {
--- /dev/null
+++ b/pkg/gateway/durations.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// durationSamples is the number of requests of a route whose durations are kept.
+	durationSamples = 64
+	// durationQuantile is the share of them that take no longer than what is expected.
+	durationQuantile = 0.95
+)
+
+// durations holds how long the last answered requests of each route took. It is safe for
+// concurrent use.
+type durations struct{ byRoute sync.Map }
+
+// routeDurations is a ring of the durations of one route's requests.
+type routeDurations struct {
+	mu      sync.Mutex
+	samples []time.Duration
+	next    int
+}
+
+// record records the duration of an answered request.
+func (d *durations) record(route string, took time.Duration) {
+	value, _ := d.byRoute.LoadOrStore(route, &routeDurations{})
+	r := value.(*routeDurations)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.samples) < durationSamples {
+		r.samples = append(r.samples, took)
+		return
+	}
+	r.samples[r.next] = took
+	r.next = (r.next + 1) % durationSamples
+}
+
+// expected returns how long nearly all requests of a route take; 0 if none was answered yet.
+func (d *durations) expected(route string) time.Duration {
+	value, ok := d.byRoute.Load(route)
+	if !ok {
+		return 0
+	}
+	r := value.(*routeDurations)
+	r.mu.Lock()
+	sorted := slices.Clone(r.samples)
+	r.mu.Unlock()
+	slices.Sort(sorted)
+	return sorted[int(durationQuantile*float64(len(sorted)-1))]
+}
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -17,6 +17,12 @@
 	bodyTimeout = 10 * time.Second
 	// unconfiguredRetryAfter is the Retry-After of a process without configuration.
 	unconfiguredRetryAfter = 500 * time.Millisecond
+	// stopRetryAfter is the Retry-After of requests that a stopping process refuses: another
+	// instance can serve them at once.
+	stopRetryAfter = 10 * time.Millisecond
+	// answerMargin is the least time between the expected end of a request and that of a stopping
+	// process, in which its response is written.
+	answerMargin = 100 * time.Millisecond
 )
 
 // findRoute determines the route, service and deadline of the request.
@@ -137,6 +143,26 @@
 	return io.ReadAll(body)
 }
 
+// checkStop refuses a request that a stopping process is not expected to finish: it has not run,
+// and its caller still has the time to try another instance.
+func (g *Gateway) checkStop(c *call) *refusal {
+	end := g.stopsAt.Load()
+	if end == nil || !g.expectedEnd(c).After(end.Add(-answerMargin)) {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "instance stops before the request would end", retryAfter: stopRetryAfter}
+}
+
+// expectedEnd returns when the request is expected to have a response, at its deadline at the
+// latest.
+func (g *Gateway) expectedEnd(c *call) time.Time {
+	end := g.Now().Add(g.durations.expected(c.route.Name))
+	if end.After(c.deadline) {
+		return c.deadline
+	}
+	return end
+}
+
 // chargeAllowance charges the request to its workspace's allowance, unless a peer has done so.
 func (g *Gateway) chargeAllowance(c *call) *refusal {
 	if c.workspace == nil || c.chargedByPeer || c.possibleRuns > 0 {
--- a/pkg/gateway/forwarding.go
+++ b/pkg/gateway/forwarding.go
@@ -116,7 +116,7 @@
 		notTaken(w, notTakenInvalid)
 		return
 	}
-	if g.stopping.Load() {
+	if g.stopping() {
 		notTaken(w, notTakenStops)
 		return
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -149,11 +149,13 @@
 type Gateway struct {
 	Options
 	retryDetector retryDetector
+	durations     durations
 	// largeResponses holds the names of the routes that have had a complete response
 	// larger than maxBufferedBytes.
 	largeResponses sync.Map
-	stopping       atomic.Bool
-	active         atomic.Int64
+	// stopsAt is when the requests in progress are ended; nil unless the gateway is stopping.
+	stopsAt atomic.Pointer[time.Time]
+	active  atomic.Int64
 	// life ends, by end, when no request may go on.
 	life context.Context
 	end  context.CancelFunc
@@ -169,8 +171,12 @@
 // says whether it may have run, unless a part of its answer was sent.
 func (g *Gateway) EndRequests() { g.end() }
 
-// Stop makes the gateway close each caller's connection after its next response.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+// Stop makes the gateway close each caller's connection after its next response, and refuse
+// requests that are not expected to have a response before end.
+func (g *Gateway) Stop(end time.Time) { g.stopsAt.Store(&end) }
+
+// stopping reports whether the gateway is about to stop.
+func (g *Gateway) stopping() bool { return g.stopsAt.Load() != nil }
 
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
@@ -186,11 +192,11 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, f *forwarding) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.stopping.Load() {
+	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{gateway: g, w: w, r: r, arrived: g.arrival(r.Context()), endpointPriority: defaultEndpointPriority, forwarded: f != nil}
-	if !c.pass(g.findRoute, g.findWorkspace, g.readBody, g.checkPoison) {
+	if !c.pass(g.findRoute, g.findWorkspace, g.readBody, g.checkStop, g.checkPoison) {
 		return
 	}
 	c.applyForwarding(f)
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -127,6 +127,7 @@
 func (c *call) recordResponse(status int, endpoint string) {
 	g := c.gateway
 	took := g.Now().Sub(c.arrived)
+	g.durations.record(c.route.Name, took)
 	g.Metrics.Answered.WithLabelValues(c.route.Kind.String()).Observe(took.Seconds())
 	level := slog.LevelDebug
 	if c.attempts > 1 || sampled(c.meta.ID) {
