A stream goes on only at an endpoint of which the process is known

Cause: the build of an endpoint was taken from its last known registration, however old. An endpoint that had started again under its id with another version still counted as the one before. Change: endpoints.Identities. What answers on a connection is the registered process if the connection was opened before the registration was last confirmed, or if that was less than 1 s ago and nothing has suggested an end since; otherwise the registration is read. Else a stream goes on elsewhere, with a peer's help too, and one that begins is recorded with a build that no endpoint has.

--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -122,6 +122,7 @@
 		OnChange: func(t *routing.Table) { p.allowances.Open(t.Workspaces) }})
 	p.table = endpoints.NewTable(p.endpointsChanged)
 	p.endpointFollower = endpoints.NewFollower(endpoints.FollowerOptions{Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Members: func() int { return p.node.Members() }, Log: log, Now: time.Now})
+	p.pool.Ended = func(addr string) { p.table.RecordEnded(addr, time.Now()) }
 	p.scheduler = schedule.New(p.table, slots, time.Now)
 	p.setUpPeers()
 	p.scheduler.Members = p.node.Members
@@ -136,6 +137,7 @@
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.allowances,
 		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs, Overload: p.overload, Poison: p.poison, Origins: p.origins,
+		Identities: endpoints.NewIdentities(endpoints.IdentityOptions{Table: p.table, Read: p.endpointFollower.Read, Metrics: p.metrics, Log: log, Now: time.Now}),
 		Pool: p.pool, Reach: p.reach, Peers: p.node, PeerPool: p.peerPool, Metrics: gateway.NewMetrics(p.metrics), Log: log, KnownState: p.knownState, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
 	})
 	p.setUpDuties(client)
--- a/pkg/endpoints/endpoint.go
+++ b/pkg/endpoints/endpoint.go
@@ -65,6 +65,7 @@
 	DataCentre string
 	born       int64
 	build      Build
+	identity   identity
 
 	mu       sync.Mutex
 	info     Info
--- a/pkg/endpoints/follow.go
+++ b/pkg/endpoints/follow.go
@@ -50,10 +50,19 @@
 // NewFollower returns a follower; Run starts it.
 func NewFollower(o FollowerOptions) *Follower {
 	f := &Follower{FollowerOptions: o, synced: make(chan struct{}), ignored: make(map[string]string)}
-	f.loop = watch.Loop{Store: o.Store, Prefix: o.Prefix, Name: "endpoint list", Apply: f.apply, Members: o.Members, CoalesceDelay: batchDelay, Log: o.Log, Now: o.Now}
+	f.loop = watch.Loop{Store: o.Store, Prefix: o.Prefix, Name: "endpoint list", Apply: f.apply, Members: o.Members, Confirmed: o.Table.RecordRegistered, CoalesceDelay: batchDelay, Log: o.Log, Now: o.Now}
 	return f
 }
 
+// Read returns the registration under an id as it is in the object store now.
+func (f *Follower) Read(ctx context.Context, id string) (Info, error) {
+	o, err := f.Store.Get(ctx, f.Prefix+id)
+	if err != nil {
+		return Info{}, err
+	}
+	return f.Decode(o.Key, o.Value)
+}
+
 // Synced returns a channel that is closed when the registrations have been read once.
 func (f *Follower) Synced() <-chan struct{} { return f.synced }
 
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/routing"
@@ -57,6 +58,9 @@
 	conn, err := c.connect(ctx, p)
 	if err != nil {
 		if ctx.Err() == nil {
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				p.Endpoint.RecordEnded(g.Now())
+			}
 			p.Endpoint.RecordUnreachable(g.Now())
 			g.Reach.Missed(p.Endpoint.Service, p.Endpoint.ID)
 		}
@@ -95,6 +99,10 @@
 // exchange sends the request, checks the head of the response and relays it.
 func (a *attempt) exchange(ctx context.Context) outcome {
 	g := a.gateway
+	if !a.knowsProcess(ctx) {
+		a.reusable = true
+		return outcome{state: stateUnsent, reason: "endpoint's process not known", processUnknown: true}
+	}
 	left := a.deadline.Sub(g.Now())
 	if left < minTimeLeft {
 		a.reusable = true // nothing was sent, so the connection can be reused
@@ -232,6 +240,7 @@
 	a.conn.RecordRefusal(a.meta.ID)
 	a.reusable = a.discardRefusal(resp.Body)
 	if meta.WrongTarget {
+		a.placement.Endpoint.RecordEnded(a.gateway.Now())
 		a.placement.Endpoint.RecordUnreachable(a.gateway.Now())
 		return outcome{state: stateRefused, reason: "another endpoint has the address"}
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -98,6 +98,15 @@
 	Replaced(e *endpoints.Endpoint) bool
 }
 
+// Identities tells which process answers at an endpoint's address.
+type Identities interface {
+	// Known reports whether it is the registered one, over a connection that was opened at a time
+	// and is still open. Ensure reads the registration if necessary, and Learn begins to.
+	Known(e *endpoints.Endpoint, openedAt time.Time) bool
+	Ensure(ctx context.Context, e *endpoints.Endpoint, openedAt time.Time) bool
+	Learn(e *endpoints.Endpoint, openedAt time.Time)
+}
+
 // Origins knows at which builds streams began.
 type Origins interface {
 	// Record records the build at which the stream of a caller's request began or goes on.
@@ -125,8 +134,9 @@
 	Overload Overload
 	// Poison keeps requests that crash endpoints away from them.
 	Poison PoisonGuard
-	// Origins knows at which builds streams began.
-	Origins Origins
+	// Origins knows at which builds streams began, and Identities which process an endpoint is.
+	Origins    Origins
+	Identities Identities
 	Pool    *upstream.Pool
 	// Reach knows which services this instance doesn't reach. Their requests are forwarded to
 	// Peers over PeerPool.
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"slices"
@@ -52,6 +53,20 @@
 	return false
 }
 
+// knowsProcess reports whether a stream may be sent over the attempt's connection: one that goes
+// on needs to know which process answers there, so that its events are of one build.
+func (a *attempt) knowsProcess(ctx context.Context) bool {
+	switch e := a.placement.Endpoint; {
+	case !a.isStream():
+		return true
+	case a.build != 0:
+		return a.gateway.Identities.Ensure(ctx, e, a.conn.OpenedAt())
+	default:
+		a.gateway.Identities.Learn(e, a.conn.OpenedAt())
+		return true
+	}
+}
+
 // recordBuild records, before the first event of an attempt is written, at which build the
 // stream begins or goes on. It returns false if the events may be of another build than the
 // endpoint's, as its id has been registered for another one meanwhile.
@@ -63,7 +78,12 @@
 	if a.gateway.Endpoints.Replaced(e) {
 		return false
 	}
-	a.build = e.Build()
+	if a.build == 0 && !a.gateway.Identities.Known(e, a.conn.OpenedAt()) {
+		a.build = endpoints.UncertainBuild
+		a.gateway.Log.Info("stream begins at an endpoint of which the process isn't known", "request", a.meta.ID, "endpoint", e.ID)
+	} else {
+		a.build = e.Build()
+	}
 	begun := a.meta.Resumes
 	if begun == "" {
 		begun = a.meta.ID
--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -131,6 +131,7 @@
 	if err == nil || isTimeout(err) {
 		return
 	}
+	a.placement.Endpoint.RecordEnded(a.gateway.Now())
 	if !a.firstEvent.IsZero() && a.gateway.Now().Sub(a.firstEvent) >= survivalTime {
 		a.recordSurvival()
 	}
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -52,6 +52,9 @@
 	done bool
 	// unreached is true if no connection to the endpoint could be opened.
 	unreached bool
+	// processUnknown is true if the stream may not go on at the endpoint, as which process it is
+	// isn't known.
+	processUnknown bool
 	// retryPermitted is true if a retry was deducted from the budget already.
 	retryPermitted bool
 	// reason says why the attempt failed, and err is the error behind it, if there is one.
@@ -88,7 +91,8 @@
 			return
 		}
 		c.recordFailedAttempt(p, last)
-		if last.unreached && g.Reach.CutOff(c.service) && c.forwardAdmitted(ctx) {
+		elsewhere := last.processUnknown || last.unreached && g.Reach.CutOff(c.service)
+		if elsewhere && c.forwardAdmitted(ctx) {
 			return
 		}
 		if ctx.Err() != nil || !c.mayRetry(last) {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -47,6 +47,7 @@
 	br     *bufio.Reader
 	head   *headLimiter
 	reader *deadlineReader
+	openedAt time.Time
 	// idleSince is when the connection was last returned to the pool.
 	idleSince time.Time
 	// idleTimeout is the endpoint's timeout for idle connections; 0 if unknown.
@@ -62,15 +63,18 @@
 // maxRefused is the number of refused requests after which a connection is not reused.
 const maxRefused = 256
 
-func newConn(c net.Conn) *Conn {
+func newConn(c net.Conn, openedAt time.Time) *Conn {
 	reader := &deadlineReader{Conn: c}
 	head := &headLimiter{r: reader}
-	return &Conn{Conn: c, br: bufio.NewReaderSize(head, bufferBytes), head: head, reader: reader}
+	return &Conn{Conn: c, openedAt: openedAt, br: bufio.NewReaderSize(head, bufferBytes), head: head, reader: reader}
 }
 
 // Reused reports whether the connection has carried an earlier request.
 func (c *Conn) Reused() bool { return c.reused }
 
+// OpenedAt returns when the connection was opened.
+func (c *Conn) OpenedAt() time.Time { return c.openedAt }
+
 // DisableReuse marks the connection so that it is not returned to the pool.
 func (c *Conn) DisableReuse() { c.noReuse = true }
 
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
 
@@ -39,6 +39,9 @@
 	Now func() time.Time
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
+	// Ended is called with the address of an idle connection that the endpoint has ended before
+	// its idle timeout; nil for none.
+	Ended func(addr string)
 	// Dial opens a connection; nil means over TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -58,11 +61,15 @@
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
-		if p.reusable(c) && c.inputEmpty() {
+		reusable := p.reusable(c)
+		if reusable && c.inputEmpty() {
 			c.reused = true
 			return c, nil
 		}
 		c.Close()
+		if reusable && p.Ended != nil {
+			p.Ended(addr)
+		}
 	}
 }
 
@@ -95,9 +102,9 @@
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
 	c, err := p.open(ctx, addr)
 	if err != nil {
-		return nil, eris.Wrap(ErrNotSent, err.Error())
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return newConn(c), nil
+	return newConn(c, p.Now()), nil
 }
 
 func (p *Pool) open(ctx context.Context, addr string) (net.Conn, error) {
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/medlarsill/medlarsill/pkg/elapsed"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/sleep"
 )
@@ -20,6 +21,11 @@
 const retryPause = 150 * time.Millisecond
 
 const (
+	// receiveTime is the longest time that passes from a watch's response to its receipt and use.
+	receiveTime = 250 * time.Millisecond
+	// maxClockDrift is the largest difference between the clocks over a call that is not due to a
+	// suspension or a step of a clock.
+	maxClockDrift = 50 * time.Millisecond
 	// membersPerRetryPause is the number of instances up to which that pause holds. It grows in
 	// proportion for more, up to maxRetryFactor: every call costs money, also one that is refused.
 	membersPerRetryPause = 40
@@ -35,6 +41,9 @@
 	// Apply is called with changes, which are a full list after an outage. resync is true
 	// for the first call after an outage or a rollback of the store.
 	Apply func(c objectstore.Changes, resync bool)
+	// Confirmed is called after Apply with the time up to which Apply has been told of all changes;
+	// nil for none.
+	Confirmed func(at time.Time)
 	// CoalesceDelay is a pause after changes, so that the next call covers several; 0 for
 	// none.
 	CoalesceDelay time.Duration
@@ -61,6 +70,7 @@
 // Run tracks the objects until the context ends.
 func (l *Loop) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		began := l.Now()
 		changes, err := l.Store.Watch(ctx, l.Prefix, l.watchFrom())
 		if ctx.Err() != nil {
 			break
@@ -70,6 +80,9 @@
 			continue
 		}
 		l.handleChanges(changes)
+		if l.Confirmed != nil {
+			l.Confirmed(confirmedAt(began, l.Now(), changes.Reset))
+		}
 		if len(changes.Objects) > 0 && !changes.Reset {
 			sleep.For(ctx, l.CoalesceDelay)
 		}
@@ -77,6 +90,18 @@
 	return nil
 }
 
+// confirmedAt returns the time up to which a call's result tells of all changes: shortly before
+// its end, or its beginning if it was a full list or the process was suspended meanwhile, as the
+// response may have waited then.
+func confirmedAt(began, ended time.Time, list bool) time.Time {
+	at := ended.Add(-receiveTime)
+	suspended := elapsed.Between(began, ended)-ended.Sub(began) > maxClockDrift
+	if list || suspended || at.Before(began) {
+		return began
+	}
+	return at
+}
+
 // watchFrom returns the version after which the next watch starts. After a failed call it
 // is 0: the store returns a full list immediately, so that its recovery is noticed before
 // the next change.
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -123,3 +123,12 @@
 	g.Expect(calls[295]).To(BeNumerically("<=", 14))
 	g.Expect(calls[880]).To(BeNumerically(">=", 5), "recovery is noticed within two seconds")
 }
+
+// Guards against state that counts as newer than the response that told it.
+func TestConfirmedAt_IsNeverLaterThanTheResponse(t *testing.T) {
+	g := NewWithT(t)
+	began := time.Now()
+	g.Expect(confirmedAt(began, began.Add(2*time.Second), false)).To(Equal(began.Add(2*time.Second - receiveTime)))
+	g.Expect(confirmedAt(began, began.Add(receiveTime/2), false)).To(Equal(began))
+	g.Expect(confirmedAt(began, began.Add(2*time.Second), true)).To(Equal(began), "a list tells the state at its beginning")
+}
