endpoints: an entry without the start of its process names no endpoint where others name theirs

Cause: a missing start was taken for one that isn't known, so that the entry made another process of the id, which took requests. Change: once any registration names its start, one that doesn't is ignored, with a log line, as other entries of other writers; what is known of leaving endpoints stays.

--- a/pkg/endpoints/endpoints_test.go
+++ b/pkg/endpoints/endpoints_test.go
@@ -488,3 +488,52 @@
 	g.Expect(first[1:]).NotTo(Equal(second[1:]))
 	g.Expect(table.OtherAddrs("addr-0")).To(Equal(first))
 }
+
+// Guards against another writer's entry, without the start of a process, that brings an endpoint
+// back which is leaving or has left: requests would be lost with it.
+func TestFollower_EntryWithoutStartNamesNoEndpoint(t *testing.T) {
+	const (
+		ready   = `{"Service":"s1","Addr":"10.0.0.1:80","Born":1700000000000}`
+		leaving = `{"Service":"s1","Addr":"10.0.0.1:80","Born":1700000000000,"Leaving":true}`
+		foreign = `{"Service":"s1","Addr":"10.0.0.1:80"}`
+	)
+	for name, entries := range map[string][]string{
+		"while it is leaving":                 {ready, leaving, foreign},
+		"and its own entry after that":        {ready, leaving, foreign, ready},
+		"after it has left":                   {ready, leaving, "", foreign},
+		"under an id that nobody knows":       {foreign},
+		"in place of a sound one":             {ready, foreign},
+		"twice, and its own entry in between": {ready, leaving, foreign, leaving, foreign},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := startFollower()
+				defer f.stop()
+				f.write("i-2", strings.ReplaceAll(ready, "10.0.0.1", "10.0.0.2"))
+				for _, entry := range entries {
+					if entry == "" {
+						f.remove("i-1")
+					} else {
+						f.write("i-1", entry)
+					}
+					time.Sleep(5 * time.Second)
+				}
+				g.Expect(ids(f.table.Service("s1"))).To(Equal([]string{"i-2"}))
+			})
+		})
+	}
+}
+
+// Guards against endpoints that are ignored where no registration names the start of a process.
+func TestFollower_UsesEndpointsOfWhichNoneNamesItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := startFollower()
+		defer f.stop()
+		f.write("i-1", `{"Service":"s1","Addr":"10.0.0.1:80"}`)
+		f.write("i-2", `{"Service":"s1","Addr":"10.0.0.2:80"}`)
+		time.Sleep(time.Second)
+		g.Expect(ids(f.table.Service("s1"))).To(Equal([]string{"i-1", "i-2"}))
+	})
+}
--- a/pkg/endpoints/follow.go
+++ b/pkg/endpoints/follow.go
@@ -6,6 +6,8 @@
 	"maps"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/watch"
 )
@@ -20,6 +22,10 @@
 	reregisterGrace = 2100 * time.Millisecond
 )
 
+// errNoStart is why a registration is ignored that doesn't name the start of its process, though
+// others do: another writer's, which may be of a process that has left long ago.
+var errNoStart = eris.New("endpoints: registration without the start of its process")
+
 // Decode decodes one registration. It returns an error if the endpoint can't be used.
 type Decode func(key string, value []byte) (Info, error)
 
@@ -42,6 +48,8 @@
 	synced chan struct{}
 	// resyncedAt is when the store last answered again after a failed call.
 	resyncedAt time.Time
+	// namesStarts is true once a registration has named the start of its process: all do then.
+	namesStarts bool
 	// ignored holds why registrations that the store holds are ignored, by key. Each is logged
 	// once.
 	ignored map[string]string
@@ -79,6 +87,7 @@
 	if c.Reset {
 		f.applyList(c)
 	} else {
+		f.noteStarts(c.Objects)
 		for _, o := range c.Objects {
 			f.applyObject(o)
 		}
@@ -95,6 +104,7 @@
 func (f *Follower) applyList(c objectstore.Changes) {
 	list := make([]Info, 0, len(c.Objects))
 	listed := make(map[string]bool, len(c.Objects))
+	f.noteStarts(c.Objects)
 	for _, o := range c.Objects {
 		listed[o.Key] = true
 		if i, ok := f.decode(o); ok {
@@ -135,8 +145,22 @@
 	}
 }
 
+// noteStarts notes whether registrations name the start of their process.
+func (f *Follower) noteStarts(list []objectstore.Object) {
+	for _, o := range list {
+		if o.Deleted || f.namesStarts {
+			continue
+		}
+		i, err := f.Decode(o.Key, o.Value)
+		f.namesStarts = err == nil && i.Born != 0
+	}
+}
+
 func (f *Follower) decode(o objectstore.Object) (Info, bool) {
 	i, err := f.Decode(o.Key, o.Value)
+	if err == nil && i.Born == 0 && f.namesStarts {
+		err = errNoStart
+	}
 	if err == nil {
 		delete(f.ignored, o.Key)
 		return i, true
