origin: the only recorded build is taken for a stream's only by a read that began after the stream

Cause: what was read of the archive was used for a second, also for what it doesn't hold. An instance that had just started used every build until it heard of the record. Change: before the only build is taken, the record is read by a call that began after the stream was taken up; ten reads a second at most, shared. An instance reads the record when it starts.

--- a/pkg/origin/archive.go
+++ b/pkg/origin/archive.go
@@ -85,6 +85,10 @@
 	// builds is the newest known record of builds, and changedAt when it last changed.
 	builds    Builds
 	changedAt time.Time
+	// learned is true once the stored record was read or heard of after the start, and learnedAt
+	// when that was last tried.
+	learned   bool
+	learnedAt time.Time
 	// registered holds the builds of the registered endpoints, and withoutVersion those of the
 	// ones that register no version.
 	registered     Builds
@@ -97,7 +101,8 @@
 	goneSince map[endpoints.Build]time.Time
 	streams   streamWriter
 
-	reader archiveReader
+	reader       archiveReader
+	buildsReader buildsReader
 	// failing holds the operations that have failed since they last succeeded.
 	failing map[string]bool
 }
@@ -119,6 +124,7 @@
 func (a *Archive) Run(ctx context.Context) error {
 	for sleep.For(ctx, archiveInterval) {
 		a.readEndpoints()
+		a.learnBuilds(ctx)
 		a.keepBuilds(ctx)
 		a.keepStreams(ctx)
 		a.reader.forget(a.Now())
@@ -126,6 +132,33 @@
 	return nil
 }
 
+// learnBuilds reads the stored record at the start, after which endpoints of other builds wait for
+// being recorded.
+func (a *Archive) learnBuilds(ctx context.Context) {
+	a.mu.Lock()
+	now := a.Now()
+	wait := a.FirstStart || a.learned || now.Sub(a.learnedAt) < recordInterval
+	known := a.builds.Version != 0
+	if !wait {
+		a.learned, a.learnedAt = known, now
+	}
+	a.mu.Unlock()
+	if wait || known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	stored, err := a.loadBuilds(ctx)
+	a.logOutcome("failed to read the record of builds", err)
+	if err != nil {
+		return
+	}
+	a.setBuilds(stored)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.learned = true
+}
+
 // readEndpoints notes the builds of the registered endpoints, if these have changed.
 func (a *Archive) readEndpoints() {
 	select {
--- a/pkg/origin/archive_read.go
+++ b/pkg/origin/archive_read.go
@@ -50,6 +50,7 @@
 // find returns the build at which a stream began, ErrUnknown if the archive doesn't say so, or
 // ErrNotFound if it can't be read. A stream without a key is one that names no beginning.
 func (a *Archive) find(ctx context.Context, k *key) (endpoints.Build, error) {
+	asked := a.Now()
 	s, err := a.read(ctx)
 	if err != nil {
 		a.metrics.lookups.WithLabelValues(lookupFailed).Inc()
@@ -65,7 +66,16 @@
 			return b, nil
 		}
 	}
-	if b, ok := a.only(s.builds); ok {
+	if _, ok := a.only(s.builds); !ok {
+		a.metrics.lookups.WithLabelValues(lookupUnknown).Inc()
+		return 0, ErrUnknown
+	}
+	builds, err := a.buildsSince(ctx, asked)
+	if err != nil {
+		a.metrics.lookups.WithLabelValues(lookupFailed).Inc()
+		return 0, ErrNotFound
+	}
+	if b, ok := a.only(builds); ok {
 		a.metrics.lookups.WithLabelValues(lookupOnlyBuild).Inc()
 		return b, nil
 	}
--- a/pkg/origin/archive_test.go
+++ b/pkg/origin/archive_test.go
@@ -406,3 +406,60 @@
 		}
 	})
 }
+
+// Guards against a stream of a build that was recorded a moment ago, and that is taken for one
+// of the only build before by an instance that knows nothing of it: it doesn't reach its peers,
+// and its list of endpoints is old.
+func TestArchive_KnowsBuildThatWasJustRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newArchives(2, true, "v1")
+		defer f.close()
+		outOfStep := f.list[1]
+		time.Sleep(time.Second)
+		b, err := outOfStep.find(context.Background(), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(b).To(Equal(build("v1")))
+		f.mu.Lock()
+		f.list = f.list[:1]
+		f.mu.Unlock()
+		f.setVersions("v1", "v2")
+		time.Sleep(readInterval / 2)
+		_, err = outOfStep.find(context.Background(), nil)
+		g.Expect(err).To(MatchError(ErrUnknown))
+	})
+}
+
+// Guards against a read of the record for each of many streams that are taken up at one instance.
+func TestArchive_StreamsShareReadsOfRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newArchives(1, true, "v1")
+		defer f.close()
+		time.Sleep(time.Second)
+		before := f.calls()
+		for range 1000 {
+			go func() { _, _ = f.list[0].find(context.Background(), nil) }()
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		g.Expect(f.calls() - before).To(BeNumerically("<=", int(time.Second/minBuildsInterval)+4))
+	})
+}
+
+// Guards against an instance that has just started and uses a build before it is recorded: it
+// knew the record only once it had heard from a peer.
+func TestArchive_StartingInstanceReadsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newArchives(2, true, "v1")
+		defer f.close()
+		time.Sleep(time.Second)
+		f.start(2, false)
+		time.Sleep(2 * archiveInterval)
+		g.Expect(f.list[1].Announcement(1)).NotTo(BeNil())
+		before := f.calls()
+		time.Sleep(10 * time.Second)
+		g.Expect(f.calls()-before).To(BeZero(), "read once")
+	})
+}
