Calls to the platform, peers and endpoints end with a reset when they are given up

Cause: a call that a partition held up was given up after 0.7 s and its connection closed in the ordinary way; the kernel went on sending its bytes, and they arrived after the partition, when the lease had ended. Change: pkg/resetconn. All connections to the platform's store and API, between instances and to endpoints, in all programs, are reset when they are closed, also at the end of the process. Beside it: gofmt of files that were committed unformatted.

--- a/cmd/medlarsill-admin/main.go
+++ b/cmd/medlarsill-admin/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -20,6 +19,7 @@
 	"github.com/medlarsill/medlarsill/pkg/logging"
 	"github.com/medlarsill/medlarsill/pkg/objectstore/httpstore"
 	"github.com/medlarsill/medlarsill/pkg/peer"
+	"github.com/medlarsill/medlarsill/pkg/resetconn"
 	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/pkg/tlsconfig"
 )
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	platform := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}}
+	platform := &http.Client{Transport: &http.Transport{DialContext: resetconn.DialContext(dialTimeout)}}
 	store := httpstore.NewClient(cfg.ObjectAPI, platform)
 	peers := peer.NewClient(&peer.Directory{}, keys.PeerClient())
 	defer peers.Close()
--- a/cmd/medlarsill-controller/main.go
+++ b/cmd/medlarsill-controller/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -27,6 +26,7 @@
 	"github.com/medlarsill/medlarsill/pkg/logging"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/objectstore/httpstore"
+	"github.com/medlarsill/medlarsill/pkg/resetconn"
 	"github.com/medlarsill/medlarsill/pkg/revision"
 	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/pkg/storebudget"
@@ -58,7 +58,7 @@
 // serve creates the components and runs them until a signal or the first failure.
 func serve(cfg settings.Controller, log *slog.Logger) error {
 	reg := prometheus.NewRegistry()
-	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}}
+	client := &http.Client{Transport: &http.Transport{DialContext: resetconn.DialContext(dialTimeout)}}
 	store := storebudget.New(storebudget.Options{
 		Inner: httpstore.NewClient(cfg.ObjectAPI, client), Role: "controller",
 		Budget: storebudget.DefaultBudget, Metrics: storebudget.NewMetrics(reg), Now: time.Now, Rand: newRand(),
--- a/cmd/medlarsill-entry/process.go
+++ b/cmd/medlarsill-entry/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
@@ -25,6 +24,7 @@
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
 	"github.com/medlarsill/medlarsill/pkg/objectstore/httpstore"
 	"github.com/medlarsill/medlarsill/pkg/peer"
+	"github.com/medlarsill/medlarsill/pkg/resetconn"
 	"github.com/medlarsill/medlarsill/pkg/revision"
 	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/pkg/tlsconfig"
@@ -237,9 +237,8 @@
 
 // newClient returns the HTTP client for endpoints and the platform.
 func newClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnsPerEndpoint, DisableCompression: true,
+		DialContext: resetconn.DialContext(dialTimeout), MaxIdleConnsPerHost: idleConnsPerEndpoint, DisableCompression: true,
 		ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -29,6 +28,7 @@
 	"github.com/medlarsill/medlarsill/pkg/poison"
 	"github.com/medlarsill/medlarsill/pkg/ratelimit"
 	"github.com/medlarsill/medlarsill/pkg/reach"
+	"github.com/medlarsill/medlarsill/pkg/resetconn"
 	"github.com/medlarsill/medlarsill/pkg/retry"
 	"github.com/medlarsill/medlarsill/pkg/routing"
 	"github.com/medlarsill/medlarsill/pkg/scaling"
@@ -113,7 +113,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	p := &process{startedAt: time.Now(), cfg: cfg, file: file, log: log, metrics: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now), peerPool: upstream.NewPool(time.Now), stopRequested: make(chan struct{})}
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         resetconn.DialContext(dialTimeout),
 		MaxIdleConnsPerHost: storeConns, IdleConnTimeout: storeIdleTimeout,
 	}}
 	p.watches = p.newSharedWatches(client)
@@ -138,7 +138,7 @@
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.allowances,
 		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs, Overload: p.overload, Poison: p.poison, Origins: p.origins,
 		Identities: endpoints.NewIdentities(endpoints.IdentityOptions{Table: p.table, Read: p.endpointFollower.Read, Metrics: p.metrics, Log: log, Now: time.Now}),
-		Pool: p.pool, Reach: p.reach, Peers: p.node, PeerPool: p.peerPool, Metrics: gateway.NewMetrics(p.metrics), Log: log, KnownState: p.knownState, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
+		Pool:       p.pool, Reach: p.reach, Peers: p.node, PeerPool: p.peerPool, Metrics: gateway.NewMetrics(p.metrics), Log: log, KnownState: p.knownState, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
 	})
 	p.setUpDuties(client)
 	p.forwarded = httpserver.New("", p.gateway.ForwardedHandler())
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/medlarsill/medlarsill/pkg/apierror"
+	"github.com/medlarsill/medlarsill/pkg/resetconn"
 )
 
 // NotRunHeader is a response header by which an endpoint states that it refused
@@ -36,13 +37,12 @@
 // connection turns out to be closed, although the endpoint may have received the
 // request.
 func NewTransports() (pooled, single *http.Transport) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled = &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnsPerEndpoint, IdleConnTimeout: idleTimeout,
+		DialContext: resetconn.DialContext(dialTimeout), MaxIdleConnsPerHost: idleConnsPerEndpoint, IdleConnTimeout: idleTimeout,
 		DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	single = &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true,
+		DialContext: resetconn.DialContext(dialTimeout), DisableKeepAlives: true,
 		DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return pooled, single
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -137,7 +137,7 @@
 	// Origins knows at which builds streams began, and Identities which process an endpoint is.
 	Origins    Origins
 	Identities Identities
-	Pool    *upstream.Pool
+	Pool       *upstream.Pool
 	// Reach knows which services this instance doesn't reach. Their requests are forwarded to
 	// Peers over PeerPool.
 	Reach    Reach
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -44,9 +44,9 @@
 type Conn struct {
 	net.Conn
 	// br reads from the connection through head and reader.
-	br     *bufio.Reader
-	head   *headLimiter
-	reader *deadlineReader
+	br       *bufio.Reader
+	head     *headLimiter
+	reader   *deadlineReader
 	openedAt time.Time
 	// idleSince is when the connection was last returned to the pool.
 	idleSince time.Time
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/medlarsill/medlarsill/pkg/resetconn"
 )
 
 // Timeouts of connections.
@@ -115,12 +117,21 @@
 }
 
 func (p *Pool) dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: p.DialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	d := net.Dialer{Timeout: p.DialTimeout, Control: setSocketOptions, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes,
 	}}
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// setSocketOptions sets the options of a socket before it is connected: a request that was given up
+// doesn't arrive later, and a silent peer is noticed.
+func setSocketOptions(network, addr string, raw syscall.RawConn) error {
+	if err := resetconn.Control(network, addr, raw); err != nil {
+		return err
+	}
+	return setUserTimeout(network, addr, raw)
+}
+
 // setUserTimeout makes the kernel close a connection whose peer acknowledges neither bytes nor
 // keep-alive probes within silenceLimit. The option also decides when probes give up, whatever
 // their count.
