--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 STEPS ?= 100
 
-.PHONY: build test fmt vet lint unit demo up faults measure soak soak-gateway bench
+.PHONY: build test fmt vet lint unit demo up faults measure soak soak-gateway soak-upgrade bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -49,6 +49,14 @@
 soak-gateway:
 	for seed in $(SEEDS); do SEED=$$seed SOAK_S=$(SOAK_S) $(GO) test -count=1 -v -run TestSoak ./cmd/medlarsill-gateway || exit 1; done
 
+# Upgrades real gateway processes from the build of an older commit, both side by side, under
+# faults: make soak-upgrade BEFORE=COMMIT SEEDS="1 2 3" SOAK_S=60
+BEFORE ?= HEAD~1
+soak-upgrade:
+	rm -rf out/before && mkdir -p out/before && git archive $(BEFORE) | tar -x -C out/before
+	cd out/before && $(GO) build -o ../medlarsill-gateway-before ./cmd/medlarsill-gateway
+	for seed in $(SEEDS); do SEED=$$seed SOAK_S=$(SOAK_S) BEFORE_PROGRAM=$(CURDIR)/out/medlarsill-gateway-before $(GO) test -count=1 -v -run TestSoak_Upgrade ./cmd/medlarsill-gateway || exit 1; done
+
 # Speed and memory of an entry against a direct call, and of the decisions.
 bench:
 	$(GO) test -run xxx -bench . ./pkg/entry ./pkg/place ./pkg/admit ./pkg/config
--- a/cmd/medlarsill-gateway/soak_test.go
+++ b/cmd/medlarsill-gateway/soak_test.go
@@ -44,7 +44,6 @@
 type soak struct {
 	g         *WithT
 	dir       string
-	program   string
 	network   string
 	random    *rand.Rand
 	store     *platformtest.Store
@@ -85,7 +84,9 @@
 
 // soakGateway is one gateway process, started again after each end.
 type soakGateway struct {
-	index    int
+	index int
+	// program is the file that the next process is started from.
+	program  string
 	settings settings.Gateway
 	file     string
 	view     *httptest.Server
@@ -174,7 +175,8 @@
 	clear(l.conns)
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
+// newSoak starts a number of gateways from a program; "" stands for this commit's.
+func newSoak(t *testing.T, seed uint64, gateways int, program string) *soak {
 	t.Helper()
 	s := &soak{
 		g: NewWithT(t), dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 46)), store: platformtest.NewStore(), cloud: platformtest.NewCloud(), runs: make(map[string]int),
@@ -183,15 +185,16 @@
 	}
 	t.Cleanup(s.store.Close)
 	t.Cleanup(s.cloud.Close)
-	s.program = filepath.Join(s.dir, "medlarsill-gateway")
-	out, err := exec.Command("go", "build", "-o", s.program, ".").CombinedOutput()
-	s.g.Expect(err).NotTo(HaveOccurred(), string(out))
+	if program == "" {
+		program = s.build()
+	}
 	for n := range soakEndpoints {
-		s.endpoints = append(s.endpoints, s.newEndpoint(t, fmt.Sprintf("i-%d", n)))
+		s.endpoints = append(s.endpoints, s.newEndpoint(t, fmt.Sprintf("i-%d", n), gateways))
 	}
 	s.configure(10)
-	for n := range soakGateways {
+	for n := range gateways {
 		gw := s.newGateway(t, n)
+		gw.program = program
 		s.gateways = append(s.gateways, gw)
 		s.start(gw)
 	}
@@ -207,11 +210,19 @@
 	return s
 }
 
-// newEndpoint starts an endpoint and registers it.
-func (s *soak) newEndpoint(t *testing.T, id string) *soakEndpoint {
+// build builds this commit's program and returns its file.
+func (s *soak) build() string {
+	program := filepath.Join(s.dir, "medlarsill-gateway")
+	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	s.g.Expect(err).NotTo(HaveOccurred(), string(out))
+	return program
+}
+
+// newEndpoint starts an endpoint, with links of a number of gateways, and registers it.
+func (s *soak) newEndpoint(t *testing.T, id string, gateways int) *soakEndpoint {
 	t.Helper()
 	e := &soakEndpoint{id: id}
-	for range soakGateways {
+	for range gateways {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		s.g.Expect(err).NotTo(HaveOccurred())
 		link := &soakLink{recordingListener: &recordingListener{TCPListener: l.(*net.TCPListener), conns: make(map[*net.TCPConn]bool)}}
@@ -275,7 +286,7 @@
 	s.g.Expect(os.WriteFile(gw.file, data, 0o600)).To(Succeed())
 	log, err := os.OpenFile(gw.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	s.g.Expect(err).NotTo(HaveOccurred())
-	cmd := exec.Command(s.program, "--settings", gw.file)
+	cmd := exec.Command(gw.program, "--settings", gw.file)
 	cmd.Stdout, cmd.Stderr = log, log
 	s.g.Expect(cmd.Start()).To(Succeed())
 	ended := make(chan struct{})
@@ -441,23 +452,13 @@
 			signal = syscall.SIGKILL
 		}
 		// At least one process of two runs all the while.
-		if !gw.up.Load() {
-			return
-		}
-		if busy.Add(1) > soakGateways/2 {
+		if busy.Add(1) > int32(len(s.gateways)/2) || !gw.up.CompareAndSwap(true, false) {
 			busy.Add(-1)
 			return
 		}
-		gw.up.Store(false)
 		running.Go(func() {
 			defer busy.Add(-1)
-			if signal == syscall.SIGKILL {
-				gw.breakOff(func() { gw.end(signal) })
-			} else {
-				gw.end(signal)
-			}
-			s.start(gw)
-			gw.awaitReady()
+			s.restart(gw, signal)
 		})
 	case 5:
 		running.Go(func() { s.silenceEndpoints(1300*time.Millisecond, e) })
@@ -470,6 +471,18 @@
 	}
 }
 
+// restart ends a gateway's process by a signal and starts the next one. The caller has set up to
+// false.
+func (s *soak) restart(gw *soakGateway, signal syscall.Signal) {
+	if signal == syscall.SIGKILL {
+		gw.breakOff(func() { gw.end(signal) })
+	} else {
+		gw.end(signal)
+	}
+	s.start(gw)
+	gw.awaitReady()
+}
+
 // silenceEndpoints makes endpoints silent for a time.
 func (s *soak) silenceEndpoints(length time.Duration, list ...*soakEndpoint) {
 	for _, silent := range []bool{true, false} {
@@ -507,11 +520,22 @@
 // own request, nothing that ran ends without an answer before its deadline unless its instance was
 // killed or cut off, no process ends by itself, and everything is served again afterwards.
 func TestSoak_FaultsInSeries(t *testing.T) {
-	s := newSoak(t, soakSeed())
-	length := defaultSoak
+	s := newSoak(t, soakSeed(), soakGateways, "")
+	s.run(t, soakLength(), func() {})
+	s.checkServing()
+	s.check(t)
+}
+
+// soakLength returns the time in which faults begin.
+func soakLength() time.Duration {
 	if n, err := strconv.Atoi(os.Getenv("SOAK_S")); err == nil {
-		length = time.Duration(n) * time.Second
+		return time.Duration(n) * time.Second
 	}
+	return defaultSoak
+}
+
+// run has clients send requests while faults begin for a time and something else is done.
+func (s *soak) run(t *testing.T, length time.Duration, meanwhile func()) {
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("faults:\n%s", strings.Join(s.faults, "\n"))
@@ -523,6 +547,7 @@
 	for n := range soakClients {
 		clients.Go(func() { s.client(n, stop) })
 	}
+	running.Go(meanwhile)
 	var busy atomic.Int32
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		s.fault(&running, &busy)
@@ -531,8 +556,6 @@
 	running.Wait()
 	close(stop)
 	clients.Wait()
-	s.checkServing()
-	s.check(t)
 }
 
 // keepLogs copies the processes' logs to the folder that SOAK_LOGS names, if it is set.
