poison: crashes that make a request suspected outlive the processes

Cause: evidence was kept in memory only. What was stored, half a second after a start, was the quarantine. It is read before requests are passed on, within the 0.6 s for which a start may hold them, and by instances that don't reach all others, who tell theirs.

--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -64,15 +64,14 @@
 	return time.Since(p.startedAt) < discoveryTime && (p.node.Members() == 1 || p.isolated())
 }
 
-// keepQuarantine keeps what requests have in common that crash endpoints in the store, for a
-// start of all instances and for instances that don't reach each other.
-func (p *process) keepQuarantine(ctx context.Context) error {
-	k := poison.Keeper{
-		Guard: p.poison, Store: p.store, Log: p.log, FirstStart: p.cfg.FirstStart,
+// newQuarantineKeeper returns what keeps in the store what requests have in common that crash
+// endpoints, for a start of all instances and for instances that don't reach each other.
+func (p *process) newQuarantineKeeper() *poison.Keeper {
+	return &poison.Keeper{
+		Guard: p.poison, Store: p.store, Log: p.log, FirstStart: p.cfg.FirstStart, TrueTime: p.clock.Now,
 		Writes:     func() bool { return p.node.ReachableRank() == 0 },
 		Incomplete: func() bool { return p.node.ReachablePeers() < p.node.Members()-1 },
 	}
-	return k.Run(ctx)
 }
 
 // releaseDuties releases the lease and removes the registration at the end of a planned
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -84,6 +84,7 @@
 	backoffs         *backoff.Backoffs
 	overload         *overload.Guard
 	poison           *poison.Guard
+	quarantine       *poison.Keeper
 	origins          *origin.Registry
 	archive          *origin.Archive
 	pool             *upstream.Pool
@@ -134,6 +135,7 @@
 	p.overload = p.newOverloadGuard()
 	p.scheduler.Shares = p.overload
 	p.poison = p.newPoisonGuard()
+	p.quarantine = p.newQuarantineKeeper()
 	p.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.allowances,
 		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs, Overload: p.overload, Poison: p.poison, Origins: p.origins,
@@ -159,9 +161,10 @@
 	}
 }
 
-// newStartupGate returns the gate that holds requests until the configuration and the endpoints are known.
+// newStartupGate returns the gate that holds requests until the configuration and the endpoints are
+// known, and which requests crash endpoints.
 func (p *process) newStartupGate() *startup.Gate {
-	return &startup.Gate{Known: p.synced, WithArrival: gateway.WithArrival, Now: time.Now, StartedAt: p.startedAt}
+	return &startup.Gate{Known: func() bool { return p.synced() && p.quarantine.Loaded() }, WithArrival: gateway.WithArrival, Now: time.Now, StartedAt: p.startedAt}
 }
 
 // endpointsChanged places waiting requests and triggers a new capacity plan.
@@ -236,7 +239,7 @@
 		{"speed log", p.logSpeeds},
 		{"limits", p.tickLimits},
 		{"poison", p.poison.Run},
-		{"quarantine", p.keepQuarantine},
+		{"quarantine", p.quarantine.Run},
 		{"peers", p.runPeers},
 		{"speeds", p.loadSpeeds},
 		{"stream archive", p.archive.Run},
