allowance: streams that are taken up may use a part of what the limit has left

Cause: between two reports an instance spends its part of the balance only, and alone its equal share of the rate; what is taken up was charged like new work, though it had been paid for when it began. Change: what takes a stream up may spend, beyond that, twice the balance over all instances, as of the last reports of the peers; less from half of the limit on, nothing at the whole.

Soak: an older build gets the settings that it knows.

--- a/cmd/medlarsill-gateway/soak_test.go
+++ b/cmd/medlarsill-gateway/soak_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -22,6 +23,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/tailscale/hujson"
 
 	"github.com/medlarsill/medlarsill/pkg/settings"
 	"github.com/medlarsill/medlarsill/pkg/silentsocket"
@@ -281,9 +283,7 @@
 
 // start starts a gateway's process.
 func (s *soak) start(gw *soakGateway) {
-	data, err := json.Marshal(gw.settings)
-	s.g.Expect(err).NotTo(HaveOccurred())
-	s.g.Expect(os.WriteFile(gw.file, data, 0o600)).To(Succeed())
+	s.g.Expect(os.WriteFile(gw.file, s.settingsFor(gw), 0o600)).To(Succeed())
 	log, err := os.OpenFile(gw.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	s.g.Expect(err).NotTo(HaveOccurred())
 	cmd := exec.Command(gw.program, "--settings", gw.file)
@@ -305,6 +305,24 @@
 	}()
 }
 
+// settingsFor returns a gateway's settings, but for those that its program doesn't know: each
+// commit is deployed with a template of its own.
+func (s *soak) settingsFor(gw *soakGateway) []byte {
+	defaults, err := exec.Command(gw.program, "--print-defaults").Output()
+	s.g.Expect(err).NotTo(HaveOccurred())
+	defaults, err = hujson.Standardize(defaults)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	var known, values map[string]json.RawMessage
+	s.g.Expect(json.Unmarshal(defaults, &known)).To(Succeed())
+	data, err := json.Marshal(gw.settings)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(json.Unmarshal(data, &values)).To(Succeed())
+	maps.DeleteFunc(values, func(name string, _ json.RawMessage) bool { return known[name] == nil })
+	data, err = json.Marshal(values)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	return data
+}
+
 // end sends a signal that ends the process, and waits for its end.
 func (gw *soakGateway) end(signal syscall.Signal) {
 	gw.mu.Lock()
--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -95,6 +95,8 @@
 	// spentSinceReport the part of it since its last report to the peers;
 	// spendLimit is the most that it may spend until the next report.
 	admitted, spentSinceReport, spendLimit float64
+	// resumeBudget is what this process may spend beyond that on streams that are taken up.
+	resumeBudget float64
 	// spendRate is the moving average of this process's use per second, and
 	// reportedAt when it last reported to its peers.
 	spendRate  float64
@@ -286,6 +288,9 @@
 		l.refresh(a, now)
 		l.estimateDemand(a, now)
 		l.resetSpendLimit(a, now, connected)
+		if connected {
+			l.resetResumeBudget(a)
+		}
 	}
 	clear(l.receivedFrom)
 	l.received = 0
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -168,7 +168,11 @@
 	if c.workspace == nil || c.chargedByPeer || c.possibleRuns > 0 {
 		return nil
 	}
-	wait, ok := g.Allowance.Take(c.workspace, c.cost(), c.late())
+	take := g.Allowance.Take
+	if c.resumes() {
+		take = g.Allowance.TakeResumed
+	}
+	wait, ok := take(c.workspace, c.cost(), c.late())
 	c.charged = ok
 	if ok {
 		return nil
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -37,6 +37,8 @@
 	// retry. Requests that have missed their latency objective (late) are refused
 	// before those that can still meet it.
 	Take(w *routing.Workspace, cost float64, late bool) (wait time.Duration, ok bool)
+	// TakeResumed is Take for a request that takes a stream up, which was charged when it began.
+	TakeResumed(w *routing.Workspace, cost float64, late bool) (wait time.Duration, ok bool)
 	// Refund returns the cost of a request that did not run.
 	Refund(w *routing.Workspace, cost float64)
 }
