gateway: bodies of requests are read only if there is room for them

Cause: a body was read before anything decided on the request. Change: bodies may take a quarter of the instance's memory, until their requests end; what doesn't fit is refused with 503 and a time to come back, before it is read if its length is known. Beside it: newProcess is split by what its components are for.

--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -52,6 +52,8 @@
 	storeIdleTimeout = 10 * time.Second
 	// memoryShare is the share of the instance's memory that is set as Go's memory limit.
 	memoryShare = 0.6
+	// bodyShare is the share of the instance's memory that the bodies of requests may take.
+	bodyShare = 0.25
 	// poolSweepInterval is the interval at which idle connections to endpoints are checked.
 	poolSweepInterval = 2 * time.Second
 	// speedLogInterval is the interval at which endpoint speeds are logged.
@@ -112,43 +114,98 @@
 
 func newProcess(cfg settings.Gateway, file string, log *slog.Logger) *process {
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
-	p := &process{startedAt: time.Now(), cfg: cfg, file: file, log: log, metrics: prometheus.NewRegistry(), pool: upstream.NewPool(time.Now), peerPool: upstream.NewPool(time.Now), stopRequested: make(chan struct{})}
-	client := &http.Client{Transport: &http.Transport{
+	p := &process{
+		startedAt: time.Now(), cfg: cfg, file: file, log: log, metrics: prometheus.NewRegistry(),
+		pool: upstream.NewPool(time.Now), peerPool: upstream.NewPool(time.Now), stopRequested: make(chan struct{}),
+	}
+	client := newPlatformClient()
+	p.setUpFollowers(client)
+	p.setUpPeers()
+	p.setUpLimits()
+	p.gateway = p.newGateway()
+	p.setUpDuties(client)
+	p.forwarded = httpserver.New("", p.gateway.ForwardedHandler())
+	p.forwarded.MaxHeaderBytes = maxForwardedHeader
+	p.startup = startup.New(startup.Options{Steps: p.startupSteps(), Log: log, Now: time.Now})
+	p.ingress = ingress.New(cfg.Listen, p.startup.Handler(p.newStartupGate().Handler(p.gateway)), p.limits, time.Now)
+	p.registerStateMetrics()
+	return p
+}
+
+// newPlatformClient returns the HTTP client for the platform's store and API.
+func newPlatformClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
 		DialContext:         resetconn.DialContext(dialTimeout),
 		MaxIdleConnsPerHost: storeConns, IdleConnTimeout: storeIdleTimeout,
 	}}
+}
+
+// setUpFollowers creates the components that follow the configuration and the endpoints in the
+// store, and the scheduler that places requests on the endpoints.
+func (p *process) setUpFollowers(client *http.Client) {
+	members := func() int { return p.node.Members() }
 	p.watches = p.newSharedWatches(client)
 	p.store = p.watches
-	p.config = routing.NewFollower(routing.FollowerOptions{Store: p.store, Prefix: platform.ConfigPrefix, IsNewest: platform.IsConfig, Decode: platform.DecodeConfig, Members: func() int { return p.node.Members() }, Log: log, Now: time.Now,
-		OnChange: func(t *routing.Table) { p.allowances.Open(t.Workspaces) }})
+	p.config = routing.NewFollower(routing.FollowerOptions{
+		Store: p.store, Prefix: platform.ConfigPrefix, IsNewest: platform.IsConfig, Decode: platform.DecodeConfig,
+		OnChange: func(t *routing.Table) { p.allowances.Open(t.Workspaces) }, Members: members, Log: p.log, Now: time.Now,
+	})
 	p.table = endpoints.NewTable(p.endpointsChanged)
-	p.endpointFollower = endpoints.NewFollower(endpoints.FollowerOptions{Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Members: func() int { return p.node.Members() }, Log: log, Now: time.Now})
+	p.endpointFollower = endpoints.NewFollower(endpoints.FollowerOptions{
+		Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Members: members, Log: p.log, Now: time.Now,
+	})
 	p.pool.Ended = func(addr string) { p.table.RecordEnded(addr, time.Now()) }
 	p.scheduler = schedule.New(p.table, slots, time.Now)
-	p.setUpPeers()
-	p.scheduler.Members = p.node.Members
-	p.allowances = allowance.New(allowance.Options{Overshoot: allowanceShare * cfg.AllowanceOver, Credit: creditShare * cfg.AllowanceSlack, Now: time.Now, PeerTimeout: p.node.PeerTimeout, RoundTime: p.node.RoundTime, ReportInterval: gossip.Interval, Members: p.node.Members})
-	p.rateLimits = ratelimit.New(ratelimit.Options{Members: p.membership, Metrics: ratelimit.NewMetrics(p.metrics), Log: log, Now: time.Now})
-	p.backoffs = backoff.New(backoff.Options{Metrics: p.metrics, Log: log, Now: time.Now})
+	p.scheduler.Members = members
+}
+
+// setUpLimits creates the components that decide whether and where a request may be sent.
+func (p *process) setUpLimits() {
+	p.allowances = allowance.New(allowance.Options{
+		Overshoot: allowanceShare * p.cfg.AllowanceOver, Credit: creditShare * p.cfg.AllowanceSlack, Now: time.Now,
+		PeerTimeout: p.node.PeerTimeout, RoundTime: p.node.RoundTime, ReportInterval: gossip.Interval, Members: p.node.Members,
+	})
+	p.rateLimits = ratelimit.New(ratelimit.Options{Members: p.membership, Metrics: ratelimit.NewMetrics(p.metrics), Log: p.log, Now: time.Now})
+	p.backoffs = backoff.New(backoff.Options{Metrics: p.metrics, Log: p.log, Now: time.Now})
 	p.scheduler.Limits = schedule.AllOf{p.backoffs, p.rateLimits}
-	p.reach = reach.New(reach.Options{Endpoints: p.table, Connects: p.pool.Holds, Log: log})
+	p.reach = reach.New(reach.Options{Endpoints: p.table, Connects: p.pool.Holds, Log: p.log})
 	p.overload = p.newOverloadGuard()
 	p.scheduler.Shares = p.overload
 	p.poison = p.newPoisonGuard()
 	p.quarantine = p.newQuarantineKeeper()
-	p.gateway = gateway.New(gateway.Options{
-		Protocol: platform.Protocol{}, Config: p.config, Placer: p.scheduler, Allowance: p.allowances,
-		Retries: retry.NewSharedBudget(cfg.RetryShare, cfg.RetryExtra, p.node.Members, time.Now), Usage: p.usage, Endpoints: p.table, RateLimits: p.rateLimits, Backoffs: p.backoffs, Overload: p.overload, Poison: p.poison, Origins: p.origins,
-		Identities: endpoints.NewIdentities(endpoints.IdentityOptions{Table: p.table, Read: p.endpointFollower.Read, Metrics: p.metrics, Log: log, Now: time.Now}),
-		Pool:       p.pool, Reach: p.reach, Peers: p.node, PeerPool: p.peerPool, Metrics: gateway.NewMetrics(p.metrics), Log: log, KnownState: p.knownState, IdleConns: p.idleConns, Now: time.Now, Random: rand.Float64,
+}
+
+// newGateway returns the handler of callers' requests.
+func (p *process) newGateway() *gateway.Gateway {
+	identities := endpoints.NewIdentities(endpoints.IdentityOptions{
+		Table: p.table, Read: p.endpointFollower.Read, Metrics: p.metrics, Log: p.log, Now: time.Now,
+	})
+	return gateway.New(gateway.Options{
+		Protocol:   platform.Protocol{},
+		Config:     p.config,
+		Placer:     p.scheduler,
+		Allowance:  p.allowances,
+		Retries:    retry.NewSharedBudget(p.cfg.RetryShare, p.cfg.RetryExtra, p.node.Members, time.Now),
+		Usage:      p.usage,
+		Endpoints:  p.table,
+		RateLimits: p.rateLimits,
+		Backoffs:   p.backoffs,
+		Overload:   p.overload,
+		Poison:     p.poison,
+		Origins:    p.origins,
+		Identities: identities,
+		Pool:       p.pool,
+		BodyBytes:  int64(bodyShare * float64(p.cfg.MemoryMB) * (1 << 20)),
+		Reach:      p.reach,
+		Peers:      p.node,
+		PeerPool:   p.peerPool,
+		Metrics:    gateway.NewMetrics(p.metrics),
+		Log:        p.log,
+		KnownState: p.knownState,
+		IdleConns:  p.idleConns,
+		Now:        time.Now,
+		Random:     rand.Float64,
 	})
-	p.setUpDuties(client)
-	p.forwarded = httpserver.New("", p.gateway.ForwardedHandler())
-	p.forwarded.MaxHeaderBytes = maxForwardedHeader
-	p.startup = startup.New(startup.Options{Steps: p.startupSteps(), Log: log, Now: time.Now})
-	p.ingress = ingress.New(cfg.Listen, p.startup.Handler(p.newStartupGate().Handler(p.gateway)), p.limits, time.Now)
-	p.registerStateMetrics()
-	return p
 }
 
 // startupSteps returns what this process waits for after its start.
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -30,6 +30,7 @@
 	workspace        *routing.Workspace
 	service          string
 	body             []byte
+	bodyRoom         int64 // bytes for which room was taken
 	deadline         time.Time
 	priority         int
 	endpointPriority int
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -113,7 +113,7 @@
 	if err := rc.SetReadDeadline(g.Now().Add(bodyTimeout)); err != nil {
 		g.Log.Debug("failed to set read deadline for request body", "request", c.meta.ID, "error", err.Error())
 	}
-	body, err := readLimited(c.r, limit)
+	body, err := c.readLimited(limit)
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	var timeoutErr interface{ Timeout() bool }
@@ -123,24 +123,34 @@
 		return nil
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large", close: true}
+	case errors.Is(err, errNoRoom):
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no room for the body", retryAfter: bodyRetryAfter, close: true}
 	case errors.As(err, &timeoutErr) && timeoutErr.Timeout():
 		return &refusal{status: http.StatusRequestTimeout, reason: "body too slow", close: true}
 	}
 	return &refusal{status: http.StatusBadRequest, reason: "unreadable body", close: true}
 }
 
-// readLimited reads a request body of at most limit bytes; 0 means no limit.
-func readLimited(r *http.Request, limit int64) ([]byte, error) {
-	body := r.Body
+// readLimited reads the request's body of at most limit bytes (0 means no limit), for which it takes
+// room until the call ends. It returns errNoRoom if there isn't enough, before it reads a body
+// of known length.
+func (c *call) readLimited(limit int64) ([]byte, error) {
+	body := c.r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(nil, body, limit)
 	}
-	if r.ContentLength > 0 {
-		buf := make([]byte, r.ContentLength)
+	if length := c.r.ContentLength; length > 0 {
+		if !c.gateway.bodies.reserve(length) {
+			return nil, errNoRoom
+		}
+		c.bodyRoom = length
+		buf := make([]byte, length)
 		_, err := io.ReadFull(body, buf)
 		return buf, err
 	}
-	return io.ReadAll(body)
+	r := &reservingReader{Reader: body, room: &c.gateway.bodies}
+	defer func() { c.bodyRoom = r.reserved }()
+	return io.ReadAll(r)
 }
 
 // checkStop refuses a request that a stopping process is not expected to finish: it has not run,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -119,7 +119,7 @@
 	Find(ctx context.Context, caller, id string) (endpoints.Build, error)
 }
 
-// Options holds the dependencies of a Gateway. All fields are required.
+// Options holds the dependencies of a Gateway. All fields but BodyBytes are required.
 type Options struct {
 	Protocol  Protocol
 	Config    Configuration
@@ -140,6 +140,8 @@
 	Origins    Origins
 	Identities Identities
 	Pool       *upstream.Pool
+	// BodyBytes is the memory that the bodies of all requests may take; 0 means no limit.
+	BodyBytes int64
 	// Reach knows which services this instance doesn't reach. Their requests are forwarded to
 	// Peers over PeerPool.
 	Reach    Reach
@@ -162,6 +164,7 @@
 	Options
 	retryDetector retryDetector
 	durations     durations
+	bodies        bodyRoom
 	// largeResponses holds the names of the routes that have had a complete response
 	// larger than maxBufferedBytes.
 	largeResponses sync.Map
@@ -176,7 +179,7 @@
 // New returns a gateway.
 func New(o Options) *Gateway {
 	life, end := context.WithCancel(context.Background())
-	return &Gateway{Options: o, life: life, end: end}
+	return &Gateway{Options: o, bodies: bodyRoom{limit: o.BodyBytes}, life: life, end: end}
 }
 
 // EndRequests ends all requests, those in progress as at their deadline: each gets an answer that
@@ -208,6 +211,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{gateway: g, w: w, r: r, arrived: g.arrival(r.Context()), endpointPriority: defaultEndpointPriority, forwarded: f != nil}
+	defer func() { g.bodies.release(c.bodyRoom) }()
 	if !c.pass(g.findRoute, g.findWorkspace, g.readBody, g.checkStop, g.checkPoison) {
 		return
 	}
