--- a/Makefile
+++ b/Makefile
@@ -53,8 +53,9 @@
 # faults: make soak-upgrade BEFORE=COMMIT SEEDS="1 2 3" SOAK_S=60
 BEFORE ?= HEAD~1
 soak-upgrade:
-	rm -rf out/before && mkdir -p out/before && git archive $(BEFORE) | tar -x -C out/before
-	cd out/before && $(GO) build -o ../medlarsill-gateway-before ./cmd/medlarsill-gateway
+	dir=$$(mktemp -d) && git archive $(BEFORE) | tar -x -C $$dir && \
+		(cd $$dir && $(GO) build -o $(CURDIR)/out/medlarsill-gateway-before ./cmd/medlarsill-gateway); \
+		status=$$?; rm -rf $$dir; exit $$status
 	for seed in $(SEEDS); do SEED=$$seed SOAK_S=$(SOAK_S) BEFORE_PROGRAM=$(CURDIR)/out/medlarsill-gateway-before $(GO) test -count=1 -v -run TestSoak_Upgrade ./cmd/medlarsill-gateway || exit 1; done
 
 # Speed and memory of an entry against a direct call, and of the decisions.
