--- a/pkg/gateway/durations.go
+++ b/pkg/gateway/durations.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -11,11 +12,17 @@
 	durationSamples = 64
 	// durationQuantile is the share of them that take no longer than what is expected.
 	durationQuantile = 0.95
+	// maxDurationRoutes is the number of routes after which all are forgotten: configurations drop
+	// routes and add others.
+	maxDurationRoutes = 4096
 )
 
 // durations holds how long the last answered requests of each route took. It is safe for
 // concurrent use.
-type durations struct{ byRoute sync.Map }
+type durations struct {
+	byRoute sync.Map
+	routes  atomic.Int64
+}
 
 // routeDurations is a ring of the durations of one route's requests.
 type routeDurations struct {
@@ -26,8 +33,7 @@
 
 // record records the duration of an answered request.
 func (d *durations) record(route string, took time.Duration) {
-	value, _ := d.byRoute.LoadOrStore(route, &routeDurations{})
-	r := value.(*routeDurations)
+	r := d.of(route)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.samples) < durationSamples {
@@ -38,6 +44,16 @@
 	r.next = (r.next + 1) % durationSamples
 }
 
+// of returns the durations of a route.
+func (d *durations) of(route string) *routeDurations {
+	value, known := d.byRoute.LoadOrStore(route, &routeDurations{})
+	if !known && d.routes.Add(1) > maxDurationRoutes {
+		d.byRoute.Clear()
+		d.routes.Store(0)
+	}
+	return value.(*routeDurations)
+}
+
 // expected returns how long nearly all requests of a route take; 0 if none was answered yet.
 func (d *durations) expected(route string) time.Duration {
 	value, ok := d.byRoute.Load(route)
@@ -48,6 +64,9 @@
 	r.mu.Lock()
 	sorted := slices.Clone(r.samples)
 	r.mu.Unlock()
+	if len(sorted) == 0 {
+		return 0
+	}
 	slices.Sort(sorted)
 	return sorted[int(durationQuantile*float64(len(sorted)-1))]
 }
--- a/pkg/gateway/durations_test.go
+++ b/pkg/gateway/durations_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -20,4 +21,12 @@
 	d.record("r", time.Hour)
 	g.Expect(d.expected("r")).To(BeNumerically("<=", durationSamples*time.Second), "one slow request among many")
 	g.Expect(d.expected("other")).To(BeZero())
+	d.of("begun")
+	g.Expect(d.expected("begun")).To(BeZero(), "the first duration is about to be recorded")
+	for n := range 3 * maxDurationRoutes {
+		d.record(fmt.Sprint("route-", n), time.Second)
+	}
+	kept := 0
+	d.byRoute.Range(func(any, any) bool { kept++; return true })
+	g.Expect(kept).To(BeNumerically("<=", maxDurationRoutes))
 }
