sharedwatch: followers learn several times a second up to when they know all changes

Change: while it follows, each batch of a relay that ends at the follower's position confirms the registrations.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -54,9 +54,17 @@
 		Members:        func() int { return p.node.Members() },
 		MaxDelay:       time.Duration(p.cfg.ChangeMS) * time.Millisecond,
 		Broadcast:      func(data []byte) { p.node.BroadcastChanges(data) },
+		Confirmed:      p.recordConfirmed,
 	})
 }
 
+// recordConfirmed records up to when this instance knows all changes under a prefix of the store.
+func (p *process) recordConfirmed(prefix string, at time.Time) {
+	if prefix == platform.EndpointPrefix {
+		p.table.RecordRegistered(at)
+	}
+}
+
 // setUpPeers creates the components that exchange messages with the peers.
 func (p *process) setUpPeers() {
 	boot := uint64(time.Now().UnixNano())
--- a/pkg/sharedwatch/follower.go
+++ b/pkg/sharedwatch/follower.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/medlarsill/medlarsill/pkg/elapsed"
 )
 
 const (
@@ -11,6 +13,14 @@
 	gapTimeout = 100 * time.Millisecond
 	// followTimeout is the time after which a follower's watch returns without changes.
 	followTimeout = 2 * time.Second
+	// minConfirmInterval is the least time between two times that are told to be confirmed.
+	minConfirmInterval = 200 * time.Millisecond
+	// deliveryTime is the longest time that passes from a relay's response of the store until its
+	// batch is received.
+	deliveryTime = 250 * time.Millisecond
+	// maxClockDrift is the largest difference between the clocks over a wait that is not due to a
+	// suspension or a step of a clock.
+	maxClockDrift = 50 * time.Millisecond
 )
 
 // outcome is the result of a follower's watch.
@@ -41,6 +51,10 @@
 	// watches the store directly.
 	relayTimeout time.Duration
 	gapSince     time.Time
+	// confirmed is called with times up to which all changes are known; nil for none. confirmedAt
+	// is the last of them.
+	confirmed   func(at time.Time)
+	confirmedAt time.Time
 }
 
 // advance moves the position to the end of the received batches and returns their
@@ -100,7 +114,21 @@
 		if err := waitForChange(ctx, p.changed, f.nextCheck(p).Sub(now)); err != nil {
 			return p, outcomePending, err
 		}
+		f.confirm(now, clock())
+	}
+}
+
+// confirm tells up to when all changes are known after a wait, unless a batch may have waited while
+// the process was suspended, or one beyond the position was received.
+func (f *follower) confirm(began, ended time.Time) {
+	p := f.feed.after(f.position)
+	at := p.lastReceived.Add(-deliveryTime)
+	suspended := elapsed.Between(began, ended)-ended.Sub(began) > maxClockDrift
+	if f.confirmed == nil || suspended || p.gap || len(p.changes) > 0 || at.Sub(f.confirmedAt) < minConfirmInterval {
+		return
 	}
+	f.confirmedAt = at
+	f.confirmed(at)
 }
 
 // waitForChange waits until the channel is closed, the time has passed or the context
--- a/pkg/sharedwatch/sharedwatch_test.go
+++ b/pkg/sharedwatch/sharedwatch_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -409,3 +410,37 @@
 		})
 	}
 }
+
+// Guards against followers that take what relays confirm for older than it is, and so read from the
+// store what they know: they are told several times a second, and never of a time at which
+// a change wasn't known.
+func TestStore_FollowersAreToldUpToWhenTheyKnowAllChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(40, noLoss)
+		defer f.shutdown()
+		time.Sleep(settleTime)
+		follower := f.instances[30]
+		var confirmed []time.Time
+		var wrong atomic.Int64
+		var putAt atomic.Pointer[time.Time]
+		follower.store.options.Confirmed = func(_ string, at time.Time) {
+			confirmed = append(confirmed, at)
+			if put := putAt.Load(); put != nil && at.After(*put) && follower.value("x") != "new" {
+				wrong.Add(1)
+			}
+		}
+		time.Sleep(2 * followTimeout)
+		longest := time.Duration(0)
+		for n := range len(confirmed) - 1 {
+			longest = max(longest, confirmed[n+1].Sub(confirmed[n]))
+		}
+		g.Expect(len(confirmed)).To(BeNumerically(">", 4))
+		g.Expect(longest).To(BeNumerically("<=", shortestMaxHold))
+		now := time.Now()
+		f.put("x", "new")
+		putAt.Store(&now)
+		time.Sleep(2 * time.Second)
+		g.Expect(wrong.Load()).To(BeZero())
+	})
+}
--- a/pkg/sharedwatch/store.go
+++ b/pkg/sharedwatch/store.go
@@ -52,7 +52,7 @@
 // has broadcast changes.
 var errOwnWatchLate = eris.New("sharedwatch: own watch is later than those of other relays")
 
-// Options configures a Store. All fields are required.
+// Options configures a Store. All fields but Confirmed are required.
 type Options struct {
 	// Store is the underlying object store.
 	Store objectstore.Store
@@ -65,6 +65,10 @@
 	MaxDelay time.Duration
 	// Broadcast sends an encoded batch to all peers. It doesn't block.
 	Broadcast func(data []byte)
+	// Confirmed is called, at most every minConfirmInterval, with a time up to which the watching
+	// caller knows all changes under a prefix, while relays confirm that there are no others. It
+	// may be nil.
+	Confirmed func(prefix string, at time.Time)
 	Metrics   prometheus.Registerer
 	Log       *slog.Logger
 	Now       func() time.Time
@@ -201,6 +205,7 @@
 // are unreachable or changes are missing.
 func (s *Store) follow(ctx context.Context, f *feed, prefix string, after uint64) (objectstore.Changes, error) {
 	relays := follower{feed: f, position: after, relayTimeout: s.maxHold(), deadline: s.options.Now().Add(followTimeout)}
+	relays.confirmed = func(at time.Time) { s.confirm(prefix, at) }
 	p, o, err := relays.wait(ctx, s.options.Now)
 	if err != nil {
 		return objectstore.Changes{}, err
@@ -218,6 +223,13 @@
 	return s.received(ctx, f, p)
 }
 
+// confirm tells the watching caller up to when it knows all changes under a prefix.
+func (s *Store) confirm(prefix string, at time.Time) {
+	if s.options.Confirmed != nil {
+		s.options.Confirmed(prefix, at)
+	}
+}
+
 // received returns the changes that a feed has beyond a position.
 func (s *Store) received(ctx context.Context, f *feed, p progress) (objectstore.Changes, error) {
 	objects, err := s.resolve(ctx, f.known, p.changes)
