A stream's process is looked up when its first event has come, not when it is sent

Change: the registration is read, if it is still necessary, before the first event is passed on. Beside it: the end of a connection sorts no list of endpoints.

--- a/pkg/endpoints/identity.go
+++ b/pkg/endpoints/identity.go
@@ -89,13 +89,6 @@
 	return i.Known(e, openedAt) || i.read(ctx, e)
 }
 
-// Learn begins to read an endpoint's registration unless its process is Known.
-func (i *Identities) Learn(e *Endpoint, openedAt time.Time) {
-	if !i.Known(e, openedAt) {
-		go i.read(context.Background(), e)
-	}
-}
-
 // read reads an endpoint's registration, and reports whether its process is the registered one.
 // Callers for the same endpoint share a read.
 func (i *Identities) read(ctx context.Context, e *Endpoint) bool {
@@ -214,7 +207,9 @@
 // RecordEnded records, for all endpoints at an address, that something suggests that its process
 // has ended.
 func (t *Table) RecordEnded(addr string, now time.Time) {
-	for _, e := range t.All() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.all {
 		if e.Addr == addr {
 			e.RecordEnded(now)
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -102,11 +102,9 @@
 
 // Identities tells which process answers at an endpoint's address.
 type Identities interface {
-	// Known reports whether it is the registered one, over a connection that was opened at a time
-	// and is still open. Ensure reads the registration if necessary, and Learn begins to.
-	Known(e *endpoints.Endpoint, openedAt time.Time) bool
+	// Ensure reports whether it is the registered one, over a connection that was opened at a time
+	// and is still open. It reads the registration if necessary.
 	Ensure(ctx context.Context, e *endpoints.Endpoint, openedAt time.Time) bool
-	Learn(e *endpoints.Endpoint, openedAt time.Time)
 }
 
 // Origins knows at which builds streams began.
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -56,29 +56,22 @@
 // knowsProcess reports whether a stream may be sent over the attempt's connection: one that goes
 // on needs to know which process answers there, so that its events are of one build.
 func (a *attempt) knowsProcess(ctx context.Context) bool {
-	switch e := a.placement.Endpoint; {
-	case !a.isStream():
-		return true
-	case a.build != 0:
-		return a.gateway.Identities.Ensure(ctx, e, a.conn.OpenedAt())
-	default:
-		a.gateway.Identities.Learn(e, a.conn.OpenedAt())
-		return true
-	}
+	return !a.isStream() || a.build == 0 || a.gateway.Identities.Ensure(ctx, a.placement.Endpoint, a.conn.OpenedAt())
 }
 
 // recordBuild records, before the first event of an attempt is written, at which build the
 // stream begins or goes on. It returns false if the events may be of another build than the
 // endpoint's, as its id has been registered for another one meanwhile.
-func (a *attempt) recordBuild() bool {
+func (a *attempt) recordBuild(ctx context.Context) bool {
 	if !a.firstEvent.IsZero() {
 		return true
 	}
 	e := a.placement.Endpoint
+	known := a.build != 0 || a.gateway.Identities.Ensure(ctx, e, a.conn.OpenedAt())
 	if a.gateway.Endpoints.Replaced(e) {
 		return false
 	}
-	if a.build == 0 && !a.gateway.Identities.Known(e, a.conn.OpenedAt()) {
+	if !known {
 		a.build = endpoints.UncertainBuild
 		a.gateway.Log.Info("stream begins at an endpoint of which the process isn't known", "request", a.meta.ID, "endpoint", e.ID)
 	} else {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -17,7 +17,7 @@
 	if events.resumes && !isEventStream(resp) {
 		return a.failResumption()
 	}
-	left, err := splitEvents(resp.Body, &events, func(accepted []byte) bool { return a.writeEvents(resp, accepted) })
+	left, err := splitEvents(resp.Body, &events, func(accepted []byte) bool { return a.writeEvents(ctx, resp, accepted) })
 	switch {
 	case errors.Is(err, errEvents):
 		return outcome{state: stateUnknown, reason: "events don't continue the stream"}
@@ -41,9 +41,9 @@
 
 // writeEvents writes complete events to the caller and flushes them. It reports whether they
 // are of the build that began the stream.
-func (a *attempt) writeEvents(resp *http.Response, events []byte) bool {
+func (a *attempt) writeEvents(ctx context.Context, resp *http.Response, events []byte) bool {
 	_, last, count := eventIDs(events)
-	if !a.recordBuild() {
+	if !a.recordBuild(ctx) {
 		return false
 	}
 	a.takeOver()
