sharedwatch: followers wait for a relay as long as it may pause after a change

Cause: a relay's caller waits 0.2 s after changes before it watches again, for up to 1 s; a follower took relays for silent after 1 s without a batch. Where all four relays happened to hold their next watch for over 0.8 s, all followers watched the store themselves. Change: followers wait 0.25 s longer.

--- a/pkg/sharedwatch/relay_test.go
+++ b/pkg/sharedwatch/relay_test.go
@@ -1,12 +1,17 @@
 package sharedwatch
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/medlarsill/medlarsill/pkg/objectstore"
 )
 
 // relayFaults are the ways in which a relay may be without the store.
@@ -84,20 +89,33 @@
 	})
 }
 
+// waitingStore is a store whose watches last until they are cancelled.
+type waitingStore struct{ objectstore.Store }
+
+// Watch implements objectstore.Store.
+func (waitingStore) Watch(ctx context.Context, _ string, _ uint64) (objectstore.Changes, error) {
+	<-ctx.Done()
+	return objectstore.Changes{}, ctx.Err()
+}
+
 // Guards against a relay behind a slow link that is late with each change, though another one
 // has broadcast it long before.
 func TestStore_RelayTakesChangeThatItsOwnWatchIsLateWith(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newFleet(40, noLoss)
-		defer f.shutdown()
-		time.Sleep(settleTime)
-		relay := f.instances[1]
-		relay.storeHung.Store(true)
-		time.Sleep(shortestMaxHold)
-		f.put("x", "new")
-		time.Sleep(relayPatience + relay.store.maxHold()/2)
-		g.Expect(relay.value("x")).To(Equal("new"))
+		s := New(Options{
+			Store: waitingStore{}, Rank: func() int { return 1 }, ReachablePeers: func() int { return 39 }, Members: func() int { return 40 },
+			Broadcast: func([]byte) {}, Metrics: prometheus.NewRegistry(), Log: slog.New(slog.DiscardHandler), Now: time.Now,
+		})
+		data, err := encode(newBatch(prefix, 5, objectstore.Changes{Version: 6, Objects: []objectstore.Object{{Key: prefix + "x", Version: 6, Value: []byte("new")}}}), newKnownValues())
+		g.Expect(err).NotTo(HaveOccurred())
+		time.AfterFunc(time.Second, func() { s.ReceiveBatch(data) })
+		began := time.Now()
+		c, err := s.Watch(t.Context(), prefix, 5)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(time.Since(began)).To(Equal(time.Second + relayPatience))
+		g.Expect(c.Version).To(BeEquivalentTo(6))
+		g.Expect(string(c.Objects[0].Value)).To(Equal("new"))
 	})
 }
 
--- a/pkg/sharedwatch/store.go
+++ b/pkg/sharedwatch/store.go
@@ -42,6 +42,9 @@
 	shortestMaxHold = time.Second
 	longestMaxHold  = 2 * time.Second
 	minHoldShare    = 0.4
+	// relayPause is the longest time between two watches of a relay: after changes its caller
+	// waits for further ones.
+	relayPause = 250 * time.Millisecond
 	// A relay that takes longer than firstConfirmDelay to receive a response confirms every
 	// confirmInterval that it reaches the store.
 	firstConfirmDelay = 30 * time.Millisecond
@@ -116,7 +119,7 @@
 }
 
 // maxHold returns the longest time for which the store should hold a relay's watch. Followers
-// that receive nothing from any relay for this time watch the store directly.
+// that receive nothing from any relay for this time and relayPause watch the store directly.
 func (s *Store) maxHold() time.Duration {
 	return min(max(shortestMaxHold, time.Duration(holdShare*float64(s.options.MaxDelay))), longestMaxHold)
 }
@@ -204,7 +207,7 @@
 // follow waits for changes from the relays. It watches the store directly if the relays
 // are unreachable or changes are missing.
 func (s *Store) follow(ctx context.Context, f *feed, prefix string, after uint64) (objectstore.Changes, error) {
-	relays := follower{feed: f, position: after, relayTimeout: s.maxHold(), deadline: s.options.Now().Add(followTimeout)}
+	relays := follower{feed: f, position: after, relayTimeout: s.maxHold() + relayPause, deadline: s.options.Now().Add(followTimeout)}
 	relays.confirmed = func(at time.Time) { s.confirm(prefix, at) }
 	p, o, err := relays.wait(ctx, s.options.Now)
 	if err != nil {
