--- a/cmd/medlarsill-gateway/metrics.go
+++ b/cmd/medlarsill-gateway/metrics.go
@@ -10,7 +10,7 @@
 		value func() float64
 	}{
 		"medlarsill_config_age_seconds":       {"Time since the store last confirmed the configuration.", func() float64 { return p.config.Age().Seconds() }},
-		"medlarsill_config_version":           {"Version of the current configuration; 0 while none is known.", p.configVersion},
+		"medlarsill_config_version":           {"Version of the current configuration; 0 while none is known.", func() float64 { return float64(p.config.Version()) }},
 		"medlarsill_endpoints_age_seconds":    {"Time since the store last confirmed the list of endpoints.", func() float64 { return p.endpointFollower.Age().Seconds() }},
 		"medlarsill_members":                  {"Instances that are registered or send messages, this one included.", func() float64 { return float64(p.node.Members()) }},
 		"medlarsill_peers_heard":              {"Peers that are reachable.", func() float64 { return float64(p.node.ReachablePeers()) }},
@@ -25,13 +25,6 @@
 	}
 }
 
-func (p *process) configVersion() float64 {
-	if t := p.config.Current(); t != nil {
-		return float64(t.Version)
-	}
-	return 0
-}
-
 func (p *process) dutyFence() float64 {
 	fence, _ := p.dutyLease.Held()
 	return float64(fence)
--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -292,6 +292,7 @@
 func (p *process) receive(m gossip.Message) {
 	from := sourceName(m.ID, m.Boot)
 	p.clock.Observe(m.ID, time.UnixMilli(m.WallMS))
+	p.configLag.Observe(m.ID, m.Config)
 	p.allowances.ReceiveTotals(m.ID, m.Boot, m.Totals)
 	p.meter.Record(from, m.Demand)
 	if p.scheduler.Splits != nil {
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -14,6 +14,7 @@
 	"github.com/medlarsill/medlarsill/pkg/actors"
 	"github.com/medlarsill/medlarsill/pkg/allowance"
 	"github.com/medlarsill/medlarsill/pkg/backoff"
+	"github.com/medlarsill/medlarsill/pkg/configlag"
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/endpointspeed"
 	"github.com/medlarsill/medlarsill/pkg/fairshare"
@@ -84,6 +85,7 @@
 	storeReach       *storereach.Store
 	storeClient      *platform.Store
 	config           *routing.Follower
+	configLag        *configlag.Detector
 	table            *endpoints.Table
 	endpointFollower *endpoints.Follower
 	scheduler        *schedule.Scheduler
@@ -159,6 +161,7 @@
 		Store: p.store, Prefix: platform.ConfigPrefix, IsNewest: platform.IsConfig, Decode: platform.DecodeConfig,
 		OnChange: func(t *routing.Table) { p.allowances.Open(t.Workspaces) }, Members: members, Log: p.log, Now: time.Now,
 	})
+	p.configLag = p.newConfigLag()
 	p.table = endpoints.NewTable(p.endpointsChanged)
 	p.endpointFollower = endpoints.NewFollower(endpoints.FollowerOptions{
 		Store: p.store, Prefix: platform.EndpointPrefix, Decode: platform.DecodeEndpoint, Table: p.table, Members: members, Log: p.log, Now: time.Now,
@@ -307,7 +310,7 @@
 // knownState returns the versions and ages of the state that this process works
 // with, for log lines.
 func (p *process) knownState() slog.Attr {
-	return slog.Group("beliefs", "config", p.configVersion(), "config_age_ms", p.config.Age().Milliseconds(),
+	return slog.Group("beliefs", "config", p.config.Version(), "config_age_ms", p.config.Age().Milliseconds(),
 		"endpoints_age_ms", p.endpointFollower.Age().Milliseconds(), "members", p.node.Members(), "peers_heard", p.node.ReachablePeers())
 }
 
@@ -336,6 +339,7 @@
 		{"stop", p.stopOnSignal},
 		{"reload", p.reloadOnSignal},
 		{"configuration", p.config.Run},
+		{"configuration lag", p.configLag.Run},
 		{"endpoints", p.endpointFollower.Run},
 		{"endpoint connections", p.sweepPool},
 		{"start", p.startup.Run},
--- a/pkg/routing/follow.go
+++ b/pkg/routing/follow.go
@@ -71,7 +71,7 @@
 func (f *Follower) Install(c Config, source string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.version()
+	before := f.Version()
 	if f.current.Load() != nil && c.Version <= before {
 		return false
 	}
@@ -83,8 +83,8 @@
 	return true
 }
 
-// version returns the version in force, or 0 if there is none.
-func (f *Follower) version() uint64 {
+// Version returns the version in force, or 0 if there is none.
+func (f *Follower) Version() uint64 {
 	if t := f.current.Load(); t != nil {
 		return t.Version
 	}
