--- a/pkg/sharedwatch/fleet_test.go
+++ b/pkg/sharedwatch/fleet_test.go
@@ -47,6 +47,8 @@
 	// storeDown is true while calls to the store fail, isolated while no peer is
 	// reachable, and storeHung while calls to the store time out.
 	storeDown, isolated, storeHung atomic.Bool
+	// responseTime is the time in nanoseconds that a response with changes takes to be received.
+	responseTime atomic.Int64
 
 	mu      sync.Mutex
 	objects map[string]string
@@ -68,9 +70,13 @@
 		return objectstore.Changes{}, objectstore.ErrUnavailable
 	}
 	hold := h.instance.store.HoldTime()
-	ctx, cancel := context.WithTimeout(ctx, hold)
+	held, cancel := context.WithTimeout(ctx, hold)
 	defer cancel()
-	c, err := h.Store.Watch(ctx, prefix, after)
+	c, err := h.Store.Watch(held, prefix, after)
+	if d := time.Duration(h.instance.responseTime.Load()); d > 0 && len(c.Objects) > 0 {
+		objectstore.ResponseBegan(ctx)
+		time.Sleep(d)
+	}
 	for _, o := range c.Objects {
 		h.instance.fleet.readBytes.Add(int64(len(o.Value)))
 	}
