sharedwatch: followers don't wait for relays that receive a change slowly

Callers got 404 for routes, and were handled by an older configuration, at instances that nothing was wrong with. A relay tells every 0.3 s that it reaches the store while it receives the response to its watch; followers took that for "nothing has changed", for as long as the slowest way to the store took that was left. Such batches now say that a response is being received. A follower that has waited for a third of the time that a change may take reads the store as well, and takes what comes first.

--- a/pkg/sharedwatch/batch.go
+++ b/pkg/sharedwatch/batch.go
@@ -39,6 +39,9 @@
 	Omitted       bool     `cbor:"5,keyasint,omitempty"`
 	Compact       *compact `cbor:"-"`
 	PackedCompact []byte   `cbor:"6,keyasint,omitempty"`
+	// Receiving is true if the relay is receiving a response, so that there may be changes
+	// beyond To that it doesn't know yet.
+	Receiving bool `cbor:"7,keyasint,omitempty"`
 }
 
 // object is a changed object in a batch.
--- a/pkg/sharedwatch/feed.go
+++ b/pkg/sharedwatch/feed.go
@@ -22,6 +22,10 @@
 	lastReceived time.Time
 	// changed is closed when the next batch is received.
 	changed chan struct{}
+	// receivingSince is when a relay first told that it receives a response after receivingFrom,
+	// if none has told since what it brought; zero otherwise.
+	receivingSince time.Time
+	receivingFrom  uint64
 	// relaysUnreachable is true while followers watch the store directly because no
 	// batches are received.
 	relaysUnreachable bool
@@ -51,10 +55,21 @@
 	}
 	f.batches = append(f.batches, receivedBatch{Batch: b, receivedAt: now})
 	f.lastReceived = now
+	f.recordReceiving(b, now)
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
+// recordReceiving records since when a relay is receiving a response. The caller must hold mu.
+func (f *feed) recordReceiving(b Batch, now time.Time) {
+	switch {
+	case !b.Receiving && b.To >= f.receivingFrom:
+		f.receivingSince = time.Time{}
+	case b.Receiving && (f.receivingSince.IsZero() || b.To > f.receivingFrom):
+		f.receivingSince, f.receivingFrom = now, b.To
+	}
+}
+
 // progress holds the changes that a feed has beyond a follower's position.
 type progress struct {
 	// changes holds the changes since the follower's position, and position is the
@@ -65,6 +80,9 @@
 	// position. omitted is true if the batch that continues there was received without
 	// its changes.
 	gap, omitted bool
+	// receivingSince is when a relay told that there may be changes beyond the position, which it
+	// is receiving; zero if none has.
+	receivingSince time.Time
 	// lastReceived is when the last batch was received; changed is closed when the next
 	// one is.
 	lastReceived time.Time
@@ -78,6 +96,9 @@
 	p := progress{position: position, lastReceived: f.lastReceived, changed: f.changed}
 	for f.advance(&p) {
 	}
+	if f.receivingFrom >= p.position {
+		p.receivingSince = f.receivingSince
+	}
 	for i := range f.batches {
 		p.gap = p.gap || f.batches[i].To > p.position
 	}
--- a/pkg/sharedwatch/follower.go
+++ b/pkg/sharedwatch/follower.go
@@ -38,6 +38,9 @@
 	outcomeIncomplete
 	// outcomeRelaysUnreachable means that no batch was received for relayTimeout.
 	outcomeRelaysUnreachable
+	// outcomeRelaysLate means that a relay has been receiving a response for longer than the
+	// follower's patience.
+	outcomeRelaysLate
 )
 
 // follower is the state of one watch at an instance that relies on the relays.
@@ -50,7 +53,9 @@
 	// relayTimeout is the time without a batch of any relay after which the follower
 	// watches the store directly.
 	relayTimeout time.Duration
-	gapSince     time.Time
+	// patience is the time in which a relay must have received a response.
+	patience time.Duration
+	gapSince time.Time
 	// confirmed is called with times up to which all changes are known; nil for none. confirmedAt
 	// is the last of them.
 	confirmed   func(at time.Time)
@@ -80,6 +85,8 @@
 		return outcomeIncomplete
 	case !now.Before(p.lastReceived.Add(f.relayTimeout)):
 		return outcomeRelaysUnreachable
+	case !p.receivingSince.IsZero() && !now.Before(p.receivingSince.Add(f.patience)):
+		return outcomeRelaysLate
 	case !now.Before(f.deadline):
 		return outcomeUnchanged
 	}
@@ -92,6 +99,9 @@
 	if !f.gapSince.IsZero() {
 		at = earliest(at, f.gapSince.Add(gapTimeout))
 	}
+	if !p.receivingSince.IsZero() {
+		at = earliest(at, p.receivingSince.Add(f.patience))
+	}
 	return at
 }
 
--- a/pkg/sharedwatch/metrics.go
+++ b/pkg/sharedwatch/metrics.go
@@ -13,6 +13,7 @@
 
 	reasonIncomplete  = "incomplete"
 	reasonUnreachable = "silent"
+	reasonLate        = "late"
 	reasonLarge       = "large"
 )
 
--- a/pkg/sharedwatch/receiving_red_test.go
+++ b/pkg/sharedwatch/receiving_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package sharedwatch
 
 import (
--- a/pkg/sharedwatch/relay.go
+++ b/pkg/sharedwatch/relay.go
@@ -18,7 +18,7 @@
 	failedRelayTimeout = 600 * time.Millisecond
 )
 
-// ownWatch is a relay's call to the store.
+// ownWatch is a call to the store beside which the relays are listened to.
 type ownWatch struct {
 	// done is closed at the end of the call, before which changes and err must not be read.
 	done    chan struct{}
@@ -32,7 +32,7 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	own := s.startOwnWatch(callCtx, prefix, after)
-	if p, ahead := f.awaitAhead(own.done, after); ahead {
+	if p, ahead := f.awaitAhead(own.done, after, relayPatience); ahead {
 		s.logFollowing(f, prefix, errOwnWatchLate)
 		return s.received(ctx, f, p)
 	}
@@ -47,6 +47,25 @@
 	return own.changes, nil
 }
 
+// watchBesideRelays watches the store as well as the relays, and returns what comes first.
+func (s *Store) watchBesideRelays(ctx context.Context, f *feed, prefix string, after uint64) (objectstore.Changes, error) {
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	own := &ownWatch{done: make(chan struct{})}
+	go func() {
+		defer close(own.done)
+		own.changes, own.err = s.watchDirectly(callCtx, f, prefix, after)
+	}()
+	if p, ahead := f.awaitAhead(own.done, after, 0); ahead {
+		cancel()
+		<-own.done
+		if own.err != nil {
+			return s.received(ctx, f, p)
+		}
+	}
+	return own.changes, own.err
+}
+
 // startOwnWatch starts a relay's call to the store.
 func (s *Store) startOwnWatch(ctx context.Context, prefix string, after uint64) *ownWatch {
 	own := &ownWatch{done: make(chan struct{})}
@@ -60,32 +79,32 @@
 	return own
 }
 
-// confirmWhileReceiving tells the followers that this relay reaches the store, until it has
-// received the response to its watch or the context ends.
+// confirmWhileReceiving tells the followers that this relay reaches the store and may know of
+// changes soon, until it has received the response to its watch or the context ends.
 func (s *Store) confirmWhileReceiving(ctx context.Context, prefix string, position uint64) {
 	for pause := firstConfirmDelay; sleep.For(ctx, pause); pause = confirmInterval {
-		s.broadcast(Batch{Prefix: prefix, From: position, To: position}, nil)
+		s.broadcast(Batch{Prefix: prefix, From: position, To: position, Receiving: true}, nil)
 	}
 }
 
 // awaitAhead waits until done is closed, or until the feed has had changes beyond a position
-// for relayPatience that need no read of the store. It returns these and true in the latter
-// case.
-func (f *feed) awaitAhead(done <-chan struct{}, position uint64) (progress, bool) {
-	var patience <-chan time.Time
+// for the time of patience that need no read of the store. It returns these and true in the
+// latter case.
+func (f *feed) awaitAhead(done <-chan struct{}, position uint64, patience time.Duration) (progress, bool) {
+	var expired <-chan time.Time
 	for {
 		p := f.after(position)
 		changed := p.changed
-		if patience == nil && f.holdsAll(p.changes) {
-			patience = time.After(relayPatience)
+		if expired == nil && f.holdsAll(p.changes) {
+			expired = time.After(patience)
 		}
-		if patience != nil {
+		if expired != nil {
 			changed = nil
 		}
 		select {
 		case <-done:
 			return progress{}, false
-		case <-patience:
+		case <-expired:
 			return f.after(position), true
 		case <-changed:
 		}
@@ -111,9 +130,9 @@
 	if position == 0 || !s.isShared() || ctx.Err() != nil {
 		return objectstore.Changes{}, failure
 	}
-	relays := follower{feed: f, position: position, relayTimeout: failedRelayTimeout, deadline: s.options.Now().Add(followTimeout)}
+	relays := follower{feed: f, position: position, relayTimeout: failedRelayTimeout, patience: s.receivingPatience(), deadline: s.options.Now().Add(followTimeout)}
 	p, o, err := relays.wait(ctx, s.options.Now)
-	if err != nil || o == outcomeIncomplete || o == outcomeRelaysUnreachable {
+	if err != nil || o != outcomeChanged && o != outcomeUnchanged {
 		return objectstore.Changes{}, failure
 	}
 	s.logFollowing(f, prefix, failure)
--- a/pkg/sharedwatch/store.go
+++ b/pkg/sharedwatch/store.go
@@ -2,7 +2,7 @@
 // to the store costs money, and the permitted call rates grow more slowly than the fleet.
 // In a large fleet the instances with the lowest ranks, the relays, watch the store and
 // broadcast the changes to the others, the followers. A follower that receives nothing
-// from the relays, or misses changes, watches the store directly, as all instances do in
+// from the relays, misses changes or waits long for them, watches the store directly, as all instances do in
 // a small fleet. A relay whose own calls fail or last follows the other relays.
 package sharedwatch
 
@@ -42,6 +42,11 @@
 	shortestMaxHold = time.Second
 	longestMaxHold  = 2 * time.Second
 	minHoldShare    = 0.4
+	// receivingShare is the time in which a relay must have received a response, as a share of
+	// Options.MaxDelay, and minReceivingPatience bounds it from below. Followers that read the
+	// changes themselves then need as much time again.
+	receivingShare       = 1.0 / 3
+	minReceivingPatience = 500 * time.Millisecond
 	// relayPause is the longest time between two watches of a relay: after changes its caller
 	// waits for further ones.
 	relayPause = 250 * time.Millisecond
@@ -124,6 +129,11 @@
 	return min(max(shortestMaxHold, time.Duration(holdShare*float64(s.options.MaxDelay))), longestMaxHold)
 }
 
+// receivingPatience returns the time in which a relay must have received a response.
+func (s *Store) receivingPatience() time.Duration {
+	return max(minReceivingPatience, time.Duration(receivingShare*float64(s.options.MaxDelay)))
+}
+
 // Watch implements objectstore.Store. A follower's watch also returns, without objects,
 // when the relays have confirmed for followTimeout that nothing changed.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (objectstore.Changes, error) {
@@ -207,7 +217,7 @@
 // follow waits for changes from the relays. It watches the store directly if the relays
 // are unreachable or changes are missing.
 func (s *Store) follow(ctx context.Context, f *feed, prefix string, after uint64) (objectstore.Changes, error) {
-	relays := follower{feed: f, position: after, relayTimeout: s.maxHold() + relayPause, deadline: s.options.Now().Add(followTimeout)}
+	relays := follower{feed: f, position: after, relayTimeout: s.maxHold() + relayPause, patience: s.receivingPatience(), deadline: s.options.Now().Add(followTimeout)}
 	relays.confirmed = func(at time.Time) { s.confirm(prefix, at) }
 	p, o, err := relays.wait(ctx, s.options.Now)
 	if err != nil {
@@ -217,6 +227,10 @@
 	case outcomeIncomplete:
 		s.metrics.direct.WithLabelValues(reasonIncomplete).Inc()
 		return s.watchDirectly(ctx, f, prefix, p.position)
+	case outcomeRelaysLate:
+		s.metrics.direct.WithLabelValues(reasonLate).Inc()
+		s.options.Log.Info("relays receive changes slowly; reading them from the store", "prefix", prefix, "position", p.position, "rank", s.options.Rank())
+		return s.watchBesideRelays(ctx, f, prefix, p.position)
 	case outcomeRelaysUnreachable:
 		s.metrics.direct.WithLabelValues(reasonUnreachable).Inc()
 		s.logRelayState(f, prefix, true)
