sharedwatch: a change that was applied in a failed call is returned by the next one

An instance could stay with an older configuration until the next change. A batch holds a delta of one object and names another that has to be read; the read fails, and the caller gets an error. The value that the delta led to was recorded all the same, so that the delta didn't fit when the batch was used again, and the change was left out.

--- a/pkg/sharedwatch/resolve.go
+++ b/pkg/sharedwatch/resolve.go
@@ -8,7 +8,8 @@
 )
 
 // resolve returns the newest state of each changed object. It applies deltas to the values
-// that are known, and reads from the store what can't be had otherwise.
+// that are known, and reads from the store what can't be had otherwise. A value that is known in
+// the version of a change is returned once more, as its caller may not have got it.
 func (s *Store) resolve(ctx context.Context, known *knownValues, changes []change) ([]objectstore.Object, error) {
 	var out []objectstore.Object
 	unread := make(map[string]uint64)
@@ -16,11 +17,9 @@
 		if c.Version < known.version(c.Key) {
 			continue // the object was read at a later version
 		}
-		o, ok := applyChange(known, c)
-		if !ok && c.Version > known.version(c.Key) {
-			unread[c.Key] = c.Version
-		}
+		o, ok := resolveKnown(known, c)
 		if !ok {
+			unread[c.Key] = c.Version
 			continue
 		}
 		delete(unread, c.Key)
@@ -38,6 +37,14 @@
 	return newest(out), nil
 }
 
+// resolveKnown returns the object of a change from what is known, unless it has to be read.
+func resolveKnown(known *knownValues, c change) (objectstore.Object, bool) {
+	if o, ok := known.object(c.Key); ok && o.Version == c.Version {
+		return o, true
+	}
+	return applyChange(known, c)
+}
+
 // applyChange returns the object of a change, unless its value has to be read.
 func applyChange(known *knownValues, c change) (objectstore.Object, bool) {
 	if c.delta == nil {
--- a/pkg/sharedwatch/values.go
+++ b/pkg/sharedwatch/values.go
@@ -25,19 +25,24 @@
 	return &knownValues{values: make(map[string]objectstore.Object)}
 }
 
-// value returns the newest known value of a key.
-func (k *knownValues) value(key string) ([]byte, bool) {
+// object returns the newest known object with a key.
+func (k *knownValues) object(key string) (objectstore.Object, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	o, ok := k.values[key]
+	return o, ok
+}
+
+// value returns the newest known value of a key.
+func (k *knownValues) value(key string) ([]byte, bool) {
+	o, ok := k.object(key)
 	return o.Value, ok
 }
 
 // version returns the version of the newest known value of a key, or 0.
 func (k *knownValues) version(key string) uint64 {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.values[key].Version
+	o, _ := k.object(key)
+	return o.Version
 }
 
 // record records the newest values of objects.
