configlag: an instance that is behind its peers reads the configuration itself

An instance's configuration came by one way only, its watch and the relays. Whatever held that up, known or not, left it with an older configuration while its peers told it of a newer one with each message. It now reads the configuration apart from its watch when it lacks one that a peer has for a third of the time that a change may take, unless it is receiving it already.

--- a/cmd/medlarsill-gateway/configlag.go
+++ b/cmd/medlarsill-gateway/configlag.go
@@ -16,12 +16,14 @@
 	minConfigPatience = 500 * time.Millisecond
 )
 
-// newConfigLag returns the detector of a configuration older than a peer's.
+// newConfigLag returns what reads a configuration that peers have and this instance lacks.
 func (p *process) newConfigLag() *configlag.Detector {
 	changeTime := time.Duration(p.cfg.ChangeMS) * time.Millisecond
 	return configlag.New(configlag.Options{
 		Own: p.config.Version, Patience: max(minConfigPatience, time.Duration(configPatienceShare*float64(changeTime))),
-		State:   func() slog.Attr { return p.watches.State(platform.ConfigPrefix) },
-		Metrics: p.metrics, Log: p.log,
+		Receiving: func() bool { return p.watches.Receiving(platform.ConfigPrefix) },
+		Refresh:   p.config.Refresh,
+		State:     func() slog.Attr { return p.watches.State(platform.ConfigPrefix) },
+		Metrics:   p.metrics, Log: p.log,
 	})
 }
--- a/pkg/configlag/configlag.go
+++ b/pkg/configlag/configlag.go
@@ -1,4 +1,6 @@
-// Package configlag notices that this instance's configuration is older than a peer's.
+// Package configlag notices that this instance's configuration is older than a peer's, and reads
+// the newer one. Changes usually come by a watch; whatever holds that up, the peers that have a
+// change tell which version it is.
 package configlag
 
 import (
@@ -19,6 +21,11 @@
 	Own func() uint64
 	// Patience is the time in which a change usually reaches all instances.
 	Patience time.Duration
+	// Receiving reports whether changes are being received, so that another read would only slow
+	// that down.
+	Receiving func() bool
+	// Refresh reads the newest configuration and puts it in force.
+	Refresh func(ctx context.Context) error
 	// State returns what is known of the watch that brings changes, for log lines.
 	State   func() slog.Attr
 	Metrics prometheus.Registerer
@@ -72,7 +79,7 @@
 	return version, peer
 }
 
-// Run reports late configurations until the context ends.
+// Run reads late configurations until the context ends.
 func (d *Detector) Run(ctx context.Context) error {
 	for {
 		select {
@@ -84,15 +91,24 @@
 	}
 }
 
-// await gives this instance Patience to have the newest version of its peers in force, and reports
-// if it hasn't.
+// await gives this instance Patience to have the newest version of its peers in force, and reads it
+// otherwise. Until it has it, each further message of such a peer leads here again.
 func (d *Detector) await(ctx context.Context) {
 	version, peer := d.takeNewest()
 	if d.Own() >= version || !sleep.For(ctx, d.Patience) {
 		return
 	}
-	if own := d.Own(); own < version {
-		d.late.Inc()
-		d.Log.Warn("configuration older than a peer's", "version", own, "peer", peer, "peer_version", version, "waited_ms", d.Patience.Milliseconds(), d.State())
+	own := d.Own()
+	if own >= version {
+		return
+	}
+	d.late.Inc()
+	receiving := d.Receiving()
+	d.Log.Warn("configuration older than a peer's", "version", own, "peer", peer, "peer_version", version, "waited_ms", d.Patience.Milliseconds(), "receiving", receiving, d.State())
+	if receiving {
+		return
+	}
+	if err := d.Refresh(ctx); err != nil {
+		d.Log.Warn("failed to read configuration", "error", err.Error())
 	}
 }
--- a/pkg/routing/follow.go
+++ b/pkg/routing/follow.go
@@ -51,9 +51,22 @@
 // Run watches the configuration until the context ends.
 func (f *Follower) Run(ctx context.Context) error { return f.loop.Run(ctx) }
 
+// Refresh reads the configuration apart from the watch, and puts it in force if it is newer.
+func (f *Follower) Refresh(ctx context.Context) error {
+	objects, err := f.Store.List(ctx, f.Prefix)
+	if err != nil {
+		return err
+	}
+	f.install(objects, "store, after a peer")
+	return nil
+}
+
 // apply installs the configuration among changed objects.
-func (f *Follower) apply(c objectstore.Changes, _ bool) {
-	for _, o := range c.Objects {
+func (f *Follower) apply(c objectstore.Changes, _ bool) { f.install(c.Objects, "store") }
+
+// install installs the configuration among objects. The log line names their source.
+func (f *Follower) install(objects []objectstore.Object, source string) {
+	for _, o := range objects {
 		if !f.IsNewest(o) {
 			continue
 		}
@@ -62,7 +75,7 @@
 			f.Log.Error("failed to decode configuration; keeping the current one", "store_version", o.Version, "error", err.Error())
 			continue
 		}
-		f.Install(config, "store")
+		f.Install(config, source)
 	}
 }
 
--- a/pkg/sharedwatch/feed.go
+++ b/pkg/sharedwatch/feed.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +17,9 @@
 // feed holds the batches received from the relays for one prefix. It is safe for
 // concurrent use.
 type feed struct {
+	// receiving is true while this instance receives a response of the store.
+	receiving atomic.Bool
+
 	mu      sync.Mutex
 	batches []receivedBatch
 	// lastReceived is when the last batch was received.
--- a/pkg/sharedwatch/relay.go
+++ b/pkg/sharedwatch/relay.go
@@ -31,7 +31,7 @@
 func (s *Store) watchAsRelay(ctx context.Context, f *feed, prefix string, after uint64) (objectstore.Changes, error) {
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	own := s.startOwnWatch(callCtx, prefix, after)
+	own := s.startOwnWatch(callCtx, f, prefix, after)
 	if p, ahead := f.awaitAhead(own.done, after, relayPatience); ahead {
 		s.logFollowing(f, prefix, errOwnWatchLate)
 		return s.received(ctx, f, p)
@@ -67,14 +67,14 @@
 }
 
 // startOwnWatch starts a relay's call to the store.
-func (s *Store) startOwnWatch(ctx context.Context, prefix string, after uint64) *ownWatch {
+func (s *Store) startOwnWatch(ctx context.Context, f *feed, prefix string, after uint64) *ownWatch {
 	own := &ownWatch{done: make(chan struct{})}
 	receiving, received := context.WithCancel(ctx)
 	onResponse := func() { go s.confirmWhileReceiving(receiving, prefix, after) }
 	go func() {
 		defer close(own.done)
 		defer received()
-		own.changes, own.err = s.Store.Watch(objectstore.WithOnResponse(ctx, onResponse), prefix, after)
+		own.changes, own.err = s.watchStore(ctx, f, prefix, after, onResponse)
 	}()
 	return own
 }
--- a/pkg/sharedwatch/state.go
+++ b/pkg/sharedwatch/state.go
@@ -23,6 +23,9 @@
 	return roleDirect
 }
 
+// Receiving reports whether this instance is receiving a response to its watch of a prefix.
+func (s *Store) Receiving(prefix string) bool { return s.feed(prefix).receiving.Load() }
+
 // State returns what is known of the watch of a prefix, for log lines.
 func (s *Store) State(prefix string) slog.Attr {
 	return slog.Group("watch", "role", s.role(), "rank", s.options.Rank(), s.feed(prefix).state(s.options.Now()))
--- a/pkg/sharedwatch/store.go
+++ b/pkg/sharedwatch/store.go
@@ -168,7 +168,7 @@
 // watchDirectly watches the store without the relays. If that fails, it goes on with what they
 // broadcast.
 func (s *Store) watchDirectly(ctx context.Context, f *feed, prefix string, after uint64) (objectstore.Changes, error) {
-	c, err := s.Store.Watch(ctx, prefix, after)
+	c, err := s.watchStore(ctx, f, prefix, after, func() {})
 	if err != nil {
 		return s.followAfterFailure(ctx, f, prefix, err)
 	}
@@ -177,6 +177,16 @@
 	return c, nil
 }
 
+// watchStore makes a watch of the underlying store. It calls began when the response has begun.
+func (s *Store) watchStore(ctx context.Context, f *feed, prefix string, after uint64, began func()) (objectstore.Changes, error) {
+	defer f.receiving.Store(false)
+	onResponse := func() {
+		f.receiving.Store(true)
+		began()
+	}
+	return s.Store.Watch(objectstore.WithOnResponse(ctx, onResponse), prefix, after)
+}
+
 // broadcast sends a batch to all peers.
 func (s *Store) broadcast(b Batch, known *knownValues) {
 	data, err := encode(b, known)
