--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -85,6 +85,7 @@
 			c.failPlacement(ctx, err, last)
 			return
 		}
+		c.awaitEvidence(ctx)
 		if reason := c.poisoned(); reason != "" {
 			p.End()
 			c.choice.Release()
