--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -9,7 +8,6 @@
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/poison"
-	"github.com/medlarsill/medlarsill/pkg/sleep"
 )
 
 // PoisonGuard keeps requests that crash endpoints away from them.
@@ -18,9 +16,6 @@
 	Check(r poison.Request) poison.Verdict
 	// Blocked decides on a request that was sent before.
 	Blocked(r poison.Request) poison.Verdict
-	// Unsettled reports whether it is about to be decided if a request is suspected of crashing
-	// endpoints.
-	Unsettled(r poison.Request) bool
 	// MayResend reports whether a request that broke off may be sent again.
 	MayResend(r poison.Request) bool
 	// ProbeNotSent records that a request that was to be a probe was not sent.
@@ -42,15 +37,11 @@
 const (
 	reasonPoisonPart    = "a part of the prompt crashes endpoints"
 	reasonPoisonRequest = "the request crashes endpoints"
-	reasonSuspected     = "the request probably crashes endpoints"
 )
 
 // poisonReason returns the reason for a verdict that refuses a request.
 func poisonReason(v poison.Verdict) string {
-	switch {
-	case v.Suspected:
-		return reasonSuspected
-	case v.Whole:
+	if v.Whole {
 		return reasonPoisonRequest
 	}
 	return reasonPoisonPart
@@ -83,23 +74,6 @@
 	return ""
 }
 
-const (
-	// evidenceTime is the longest time for which a request waits until it is decided whether it is
-	// suspected, and evidenceInterval the time between two looks.
-	evidenceTime     = 400 * time.Millisecond
-	evidenceInterval = 25 * time.Millisecond
-)
-
-// awaitEvidence waits until it is decided whether the request is suspected of crashing endpoints:
-// when these come back, tries that have waited for them would all be sent before.
-func (c *call) awaitEvidence(ctx context.Context) {
-	for waited := time.Duration(0); waited < evidenceTime && c.gateway.Poison.Unsettled(c.traits); waited += evidenceInterval {
-		if !sleep.For(ctx, evidenceInterval) {
-			return
-		}
-	}
-}
-
 // endProbe reports a probe that was not sent.
 func (c *call) endProbe() {
 	if c.probe && c.attempts == 0 {
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -85,7 +85,6 @@
 			c.failPlacement(ctx, err, last)
 			return
 		}
-		c.awaitEvidence(ctx)
 		if reason := c.poisoned(); reason != "" {
 			p.End()
 			c.choice.Release()
--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -141,12 +141,10 @@
 
 // countsForParts reports whether a crash is evidence against parts: no other part accounts for
 // it.
-func (c *crash) countsForParts() bool {
-	return !c.unconfirmed && (c.cause == 0 || c.cause.kind() != kindPart)
-}
+func (c *crash) countsForParts() bool { return c.cause == 0 || c.cause.kind() != kindPart }
 
 // countsForRequests reports whether a crash is evidence against whole requests.
-func (c *crash) countsForRequests() bool { return !c.unconfirmed && c.cause == 0 }
+func (c *crash) countsForRequests() bool { return c.cause == 0 }
 
 // partFindings returns the evidence against all parts. Of crashes under a poison request only
 // that request counts.
@@ -333,7 +331,7 @@
 	}
 	var times []time.Time
 	for _, c := range l.crashes {
-		if !c.unconfirmed && c.has(t) {
+		if c.has(t) {
 			times = append(times, c.at)
 		}
 	}
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -37,16 +37,12 @@
 
 // Options configures a Guard. All fields are required.
 type Options struct {
-	// Ended reports whether the process at an address has ended: it accepts no connections. It calls
-	// uncertain if that takes a while, as the links of this instance may be at fault.
-	Ended func(addr string, uncertain func()) bool
+	// Ended reports whether the process at an address has ended: it accepts no connections.
+	Ended func(addr string) bool
 	// Broadcast sends an encoded report to all peers. It doesn't block.
 	Broadcast func(data []byte)
 	// MayProbe reports whether this instance is the one that sends the probes of a trait.
 	MayProbe func(t Trait) bool
-	// Position returns this instance's position, from 0, in the order in which the instances try
-	// requests with a trait that are suspected.
-	Position func(t Trait) int
 	Metrics  prometheus.Registerer
 	Log      *slog.Logger
 	Now      func() time.Time
@@ -69,8 +65,6 @@
 	quarantine quarantine
 	// checks holds the endpoints that are to be checked.
 	checks map[endpoints.Key]*check
-	// nextTrial holds when a suspected request may be sent again.
-	nextTrial map[Trait]time.Time
 	// lastCrash is when a crash was last reported; zero if all evidence has been evaluated.
 	lastCrash time.Time
 	// next is to be reported, and soundReported when traits were last reported as sound.
@@ -82,7 +76,7 @@
 func New(o Options) *Guard {
 	return &Guard{
 		Options: o, metrics: newMetrics(o.Metrics), log: newCrashLog(), quarantine: newQuarantine(),
-		checks: make(map[endpoints.Key]*check), nextTrial: make(map[Trait]time.Time), soundReported: make(map[Trait]time.Time),
+		checks: make(map[endpoints.Key]*check), soundReported: make(map[Trait]time.Time),
 	}
 }
 
@@ -92,8 +86,6 @@
 	// may be tried again.
 	Refused    bool
 	RetryAfter time.Duration
-	// Suspected is true if there isn't enough evidence yet to be certain.
-	Suspected bool
 	// Whole is true if it is refused as a whole, false if it is for a part of its prompt.
 	Whole bool
 	// Probe is true if the request may be sent once, to check whether its traits are still
@@ -111,7 +103,7 @@
 	now := g.Now()
 	entries, v := g.quarantined(r, now)
 	if len(entries) == 0 {
-		return g.checkSuspected(r, now)
+		return Verdict{}
 	}
 	if v.RetryAfter > 0 || !g.mayProbe(entries) {
 		g.metrics.refused.Inc()
@@ -135,12 +127,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.Now()
-	_, v := g.quarantined(r, now)
-	if !v.Refused {
-		return g.blockedSuspected(r, now)
+	_, v := g.quarantined(r, g.Now())
+	if v.Refused {
+		v.RetryAfter = max(v.RetryAfter, probeRetryAfter)
 	}
-	v.RetryAfter = max(v.RetryAfter, probeRetryAfter)
 	return v
 }
 
@@ -192,7 +182,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
-	delete(g.nextTrial, r.id())
 	entries, _ := g.quarantined(r, now)
 	for _, e := range entries {
 		e.probeAt = now.Add(unsentProbeDelay)
@@ -247,9 +236,6 @@
 	for _, c := range r.Crashes {
 		g.addCrash(c.Process, c.Requests, now)
 	}
-	for _, c := range r.Unconfirmed {
-		g.addUnconfirmed(c.Process, c.Requests, now)
-	}
 	for _, t := range r.Sound {
 		g.clear(t, now)
 	}
@@ -327,14 +313,10 @@
 		g.Log.Info("many endpoints ended at once; not reported", "endpoints", count)
 		g.next.Crashes = nil
 	}
-	if len(g.next.Unconfirmed) > maxReportedCrashes {
-		g.next.Unconfirmed = nil
-	}
 	var out []report
 	for !g.next.empty() {
 		out = append(out, g.next.take())
 	}
-	maps.DeleteFunc(g.nextTrial, func(_ Trait, at time.Time) bool { return !now.Before(at) })
 	maps.DeleteFunc(g.soundReported, func(_ Trait, at time.Time) bool { return now.Sub(at) >= soundReportInterval })
 	if len(g.log.crashes)+len(g.quarantine.entries)+len(g.quarantine.released) == 0 {
 		g.active.Store(false)
@@ -353,27 +335,11 @@
 			g.convict(t, now)
 		}
 	}
-	g.countSentBefore(now)
 	if now.Sub(g.lastCrash) >= settleTime {
 		g.lastCrash = time.Time{}
 	}
 }
 
-// countSentBefore counts crashes under requests that were on their way when these were put into
-// quarantine as probes, as those before are. The caller must hold mu.
-func (g *Guard) countSentBefore(now time.Time) {
-	for t, e := range g.quarantine.entries {
-		if now.Sub(e.since) >= checkDelay {
-			continue
-		}
-		late := g.log.lateCrashes(t)
-		for e.probes < late {
-			e.scheduleProbe(t.kind(), now)
-			g.reportEntry(t, e, now)
-		}
-	}
-}
-
 // convict puts a trait into quarantine. The caller must hold mu.
 func (g *Guard) convict(t Trait, now time.Time) {
 	late := g.log.lateCrashes(t)
