--- a/pkg/poison/quarantine.go
+++ b/pkg/poison/quarantine.go
@@ -19,6 +19,8 @@
 	// lastProbeDelay is the time between the probes of a whole request after the others, so
 	// that one that keeps coming ends few endpoints a day.
 	lastProbeDelay = 24 * time.Hour
+	// maxOthersDelay is the longest time by which a probe is delayed for those of other traits.
+	maxOthersDelay = 10 * time.Minute
 	// unsentProbeDelay is the time until the next one if a probe could not be sent.
 	unsentProbeDelay = time.Second
 	// forgetTime is the time without a probe after which a trait leaves the quarantine.
@@ -51,8 +53,9 @@
 	since  time.Time
 	epoch  uint64
 	probes int
-	// probeAt is when a request may be sent as a probe.
-	probeAt time.Time
+	// probeAt is when a request may be sent as a probe, if no other trait is in quarantine.
+	// scheduledAt is when that was decided.
+	probeAt, scheduledAt time.Time
 }
 
 // quarantine holds the traits that are kept away from the endpoints.
@@ -79,7 +82,7 @@
 		return false
 	}
 	q.makeRoom()
-	e := &entry{since: now, epoch: q.released[t].epoch + 1, probeAt: now.Add(checkDelay)}
+	e := &entry{since: now, epoch: q.released[t].epoch + 1, probeAt: now.Add(checkDelay), scheduledAt: now}
 	for range probes {
 		e.scheduleProbe(t.kind(), now)
 	}
@@ -122,16 +125,27 @@
 			e.scheduleProbe(t.kind(), now)
 		}
 	}
-	maps.DeleteFunc(q.entries, func(_ Trait, e *entry) bool { return now.Sub(e.probeAt) > forgetTime })
+	maps.DeleteFunc(q.entries, func(_ Trait, e *entry) bool { return now.Sub(q.due(e)) > forgetTime })
 	maps.DeleteFunc(q.released, func(_ Trait, r release) bool { return now.Sub(r.at) > releaseMemory })
 }
 
 // scheduleProbe sets the time of the next probe of a trait of a kind.
 func (e *entry) scheduleProbe(k kind, now time.Time) {
-	e.probeAt = now.Add(probeDelay(k, e.probes))
+	e.probeAt, e.scheduledAt = now.Add(probeDelay(k, e.probes)), now
 	e.probes++
 }
 
+// due returns when a request with a trait may be sent as a probe. Each probe may crash an
+// endpoint, so that several traits together are probed as often as one alone; but for the
+// first probes, which release sound ones.
+func (q *quarantine) due(e *entry) time.Time {
+	if e.probes == 0 {
+		return e.probeAt
+	}
+	others := time.Duration(len(q.entries) - 1)
+	return e.probeAt.Add(min(others*e.probeAt.Sub(e.scheduledAt), maxOthersDelay))
+}
+
 // probeDelay returns the time until the next probe after a number of probes.
 func probeDelay(k kind, probes int) time.Duration {
 	if k == kindPart {
@@ -159,10 +173,10 @@
 		e, ok := q.entries[in.Trait]
 		switch {
 		case !ok && len(q.entries) < maxQuarantined:
-			q.entries[in.Trait] = &entry{since: now, epoch: in.Epoch, probes: max(in.Probes, 0), probeAt: probeAt}
+			q.entries[in.Trait] = &entry{since: now, epoch: in.Epoch, probes: max(in.Probes, 0), probeAt: probeAt, scheduledAt: now}
 			added = append(added, in.Trait)
 		case ok && (in.Epoch > e.epoch || in.Epoch == e.epoch && in.Probes > e.probes):
-			e.epoch, e.probes, e.probeAt = in.Epoch, in.Probes, probeAt
+			e.epoch, e.probes, e.probeAt, e.scheduledAt = in.Epoch, in.Probes, probeAt, now
 		}
 	}
 	return added
