poison: several requests in quarantine are probed as rarely as one

Callers of other requests lost their answers to probes: with three requests in quarantine an endpoint ended every 10 s, and tries that were on their way at the verdict left room for fewer probes than were sent. Probes but for the first ones are now as many times rarer as there are traits in quarantine, and crashes within a second after the verdict count as probes.

--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -162,7 +162,7 @@
 		found[t] = e
 		v.Refused = true
 		v.Whole = v.Whole || t.kind() != kindPart
-		v.RetryAfter = max(v.RetryAfter, e.probeAt.Sub(now))
+		v.RetryAfter = max(v.RetryAfter, g.quarantine.due(e).Sub(now))
 	}
 	return found, v
 }
@@ -184,7 +184,7 @@
 	now := g.Now()
 	entries, _ := g.quarantined(r, now)
 	for _, e := range entries {
-		e.probeAt = now.Add(unsentProbeDelay)
+		e.probeAt, e.scheduledAt = now.Add(unsentProbeDelay), now
 	}
 }
 
@@ -335,11 +335,27 @@
 			g.convict(t, now)
 		}
 	}
+	g.countSentBefore(now)
 	if now.Sub(g.lastCrash) >= settleTime {
 		g.lastCrash = time.Time{}
 	}
 }
 
+// countSentBefore counts crashes under requests that were on their way when these were put into
+// quarantine as probes, as those before are. The caller must hold mu.
+func (g *Guard) countSentBefore(now time.Time) {
+	for t, e := range g.quarantine.entries {
+		if now.Sub(e.since) >= checkDelay {
+			continue
+		}
+		late := g.log.lateCrashes(t)
+		for e.probes < late {
+			e.scheduleProbe(t.kind(), now)
+			g.reportEntry(t, e, now)
+		}
+	}
+}
+
 // convict puts a trait into quarantine. The caller must hold mu.
 func (g *Guard) convict(t Trait, now time.Time) {
 	late := g.log.lateCrashes(t)
