poison: requests that crash endpoints are tried in turn until there is a verdict

Callers of other requests lost their answers: with several requests that crash endpoints at the same time, one of them arrived up to 40 times later than 3 s after its third crash (3 allowed).

Cause: tries wait at all instances while all endpoints are down, and are sent at once as the first is back, before an end can be confirmed; a crash confirmed late was dated late; and a crash put down to one request didn't count as a reason to suspect another that had it, too. Change: tries of a request with three crashes and no answer follow each other, 0.4 s apart, for 2 s at most; from 2.5 s on it is refused but for single tries if a large share of the crashes came under it; unconfirmed ends make requests suspected and are told to peers. TestGuard_ConvictsRequestThatAnotherOneHid fails if crashes of another request don't count; the others in suspicion_test.go call what the change adds.

--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -70,6 +70,8 @@
 type evidence struct {
 	groups   []group
 	requests map[Trait]bool
+	// all holds the times of all crashes under a whole request, those too that another one accounts for.
+	all []time.Time
 }
 
 // crashes returns the number of crashes.
@@ -141,10 +143,12 @@
 
 // countsForParts reports whether a crash is evidence against parts: no other part accounts for
 // it.
-func (c *crash) countsForParts() bool { return c.cause == 0 || c.cause.kind() != kindPart }
+func (c *crash) countsForParts() bool {
+	return !c.unconfirmed && (c.cause == 0 || c.cause.kind() != kindPart)
+}
 
 // countsForRequests reports whether a crash is evidence against whole requests.
-func (c *crash) countsForRequests() bool { return c.cause == 0 }
+func (c *crash) countsForRequests() bool { return !c.unconfirmed && c.cause == 0 }
 
 // partFindings returns the evidence against all parts. Of crashes under a poison request only
 // that request counts.
@@ -163,13 +167,43 @@
 
 // requestFindings returns the evidence against all whole requests.
 func (l *crashLog) requestFindings(now time.Time) findings {
-	return l.collect(now, requestGroupTime, (*crash).countsForRequests, func(c *crash, add func(t, request Trait)) {
+	f := l.collect(now, requestGroupTime, (*crash).countsForRequests, func(c *crash, add func(t, request Trait)) {
 		for id, r := range c.requests {
 			for _, t := range r.whole() {
 				add(t, id)
 			}
 		}
 	})
+	f.addTimes(l)
+	return f
+}
+
+// addTimes adds the times of all confirmed crashes to the evidence against whole requests.
+func (f *findings) addTimes(l *crashLog) {
+	for _, c := range l.crashes {
+		if c.unconfirmed {
+			continue
+		}
+		for t := range l.repeatedTraits(c) {
+			if e, ok := f.evidence[t]; ok {
+				e.all = append(e.all, c.at)
+			}
+		}
+	}
+}
+
+// repeatedTraits returns the traits of the whole requests that broke off with a crash, but for those that
+// can't be suspected: they didn't break off with others.
+func (l *crashLog) repeatedTraits(c *crash) map[Trait]bool {
+	traits := make(map[Trait]bool)
+	for _, r := range c.requests {
+		for _, t := range r.whole() {
+			if l.mentions[t] >= requestCrashes {
+				traits[t] = true
+			}
+		}
+	}
+	return traits
 }
 
 // collect groups the crashes that count, but for the newest ones, which other instances may
@@ -244,12 +278,13 @@
 }
 
 // lateCrashes returns the number of crashes that came later than graceTime after there were
-// enough to suspect a request.
+// enough to suspect a request. Those that another one accounts for are enough to suspect it: requests
+// that crash endpoints at the same time would hide each other.
 func (e *evidence) lateCrashes() int {
-	if len(e.groups) < requestCrashes {
+	if len(e.all) < requestCrashes {
 		return 0
 	}
-	end := e.groups[requestCrashes-1].at.Add(graceTime)
+	end := e.all[requestCrashes-1].Add(graceTime)
 	late := 0
 	for _, g := range e.groups {
 		if g.at.After(end) {
@@ -329,15 +364,21 @@
 	if t.kind() == kindPart {
 		return 0
 	}
-	var times []time.Time
-	for _, c := range l.crashes {
-		if c.has(t) {
-			times = append(times, c.at)
-		}
-	}
+	times := l.crashTimes(t)
 	if len(times) < requestCrashes {
 		return 0
 	}
 	end := times[requestCrashes-1].Add(graceTime)
 	return len(slices.DeleteFunc(times, func(at time.Time) bool { return !at.After(end) }))
 }
+
+// crashTimes returns the times of the confirmed crashes under a trait.
+func (l *crashLog) crashTimes(t Trait) []time.Time {
+	var times []time.Time
+	for _, c := range l.crashes {
+		if !c.unconfirmed && c.has(t) {
+			times = append(times, c.at)
+		}
+	}
+	return times
+}
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -37,12 +37,16 @@
 
 // Options configures a Guard. All fields are required.
 type Options struct {
-	// Ended reports whether the process at an address has ended: it accepts no connections.
-	Ended func(addr string) bool
+	// Ended reports whether the process at an address has ended: it accepts no connections. It calls
+	// uncertain if that takes a while, as the links of this instance may be at fault.
+	Ended func(addr string, uncertain func()) bool
 	// Broadcast sends an encoded report to all peers. It doesn't block.
 	Broadcast func(data []byte)
 	// MayProbe reports whether this instance is the one that sends the probes of a trait.
 	MayProbe func(t Trait) bool
+	// Position returns this instance's position, from 0, in the order in which the instances try
+	// requests with a trait that are suspected.
+	Position func(t Trait) int
 	Metrics  prometheus.Registerer
 	Log      *slog.Logger
 	Now      func() time.Time
@@ -65,6 +69,8 @@
 	quarantine quarantine
 	// checks holds the endpoints that are to be checked.
 	checks map[endpoints.Key]*check
+	// nextTrial holds when a suspected request may be sent again.
+	nextTrial map[Trait]time.Time
 	// lastCrash is when a crash was last reported; zero if all evidence has been evaluated.
 	lastCrash time.Time
 	// next is to be reported, and soundReported when traits were last reported as sound.
@@ -76,7 +82,7 @@
 func New(o Options) *Guard {
 	return &Guard{
 		Options: o, metrics: newMetrics(o.Metrics), log: newCrashLog(), quarantine: newQuarantine(),
-		checks: make(map[endpoints.Key]*check), soundReported: make(map[Trait]time.Time),
+		checks: make(map[endpoints.Key]*check), nextTrial: make(map[Trait]time.Time), soundReported: make(map[Trait]time.Time),
 	}
 }
 
@@ -103,7 +109,7 @@
 	now := g.Now()
 	entries, v := g.quarantined(r, now)
 	if len(entries) == 0 {
-		return Verdict{}
+		return g.checkSuspected(r, now)
 	}
 	if v.RetryAfter > 0 || !g.mayProbe(entries) {
 		g.metrics.refused.Inc()
@@ -182,6 +188,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
+	delete(g.nextTrial, r.id())
 	entries, _ := g.quarantined(r, now)
 	for _, e := range entries {
 		e.probeAt, e.scheduledAt = now.Add(unsentProbeDelay), now
@@ -236,6 +243,9 @@
 	for _, c := range r.Crashes {
 		g.addCrash(c.Process, c.Requests, now)
 	}
+	for _, c := range r.Unconfirmed {
+		g.addUnconfirmed(c.Process, c.Requests, now)
+	}
 	for _, t := range r.Sound {
 		g.clear(t, now)
 	}
@@ -313,10 +323,14 @@
 		g.Log.Info("many endpoints ended at once; not reported", "endpoints", count)
 		g.next.Crashes = nil
 	}
+	if len(g.next.Unconfirmed) > maxReportedCrashes {
+		g.next.Unconfirmed = nil
+	}
 	var out []report
 	for !g.next.empty() {
 		out = append(out, g.next.take())
 	}
+	maps.DeleteFunc(g.nextTrial, func(_ Trait, at time.Time) bool { return !now.Before(at) })
 	maps.DeleteFunc(g.soundReported, func(_ Trait, at time.Time) bool { return now.Sub(at) >= soundReportInterval })
 	if len(g.log.crashes)+len(g.quarantine.entries)+len(g.quarantine.released) == 0 {
 		g.active.Store(false)
