gateway: what is kept of unfinished answers has a bound for all requests

Cause: answers are bounded one by one (256 KiB, 1 MiB an event) and not together. Change: they share 0.15 of the memory; if it is full, connections of the address that holds most are closed, the largest first. An answer that isn't a stream is passed on as it arrives in place of that.

--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -59,6 +59,8 @@
 	memoryShare = 0.6
 	// bodyShare is the share of the instance's memory that the bodies of requests may take.
 	bodyShare = 0.25
+	// responseShare is the share of the instance's memory that unfinished responses may take.
+	responseShare = 0.15
 	// poolSweepInterval is the interval at which idle connections to endpoints are checked.
 	poolSweepInterval = 2 * time.Second
 	// speedLogInterval is the interval at which endpoint speeds are logged.
@@ -228,32 +230,33 @@
 		Table: p.table, Read: p.endpointFollower.Read, Metrics: p.metrics, Log: p.log, Now: time.Now,
 	})
 	return gateway.New(gateway.Options{
-		Protocol:   platform.Protocol{},
-		Config:     p.config,
-		Placer:     p.scheduler,
-		Allowance:  p.allowances,
-		Retries:    retry.NewSharedBudget(p.cfg.RetryShare, p.cfg.RetryExtra, p.node.Members, time.Now),
-		Usage:      p.usage,
-		Endpoints:  p.table,
-		RateLimits: p.rateLimits,
-		Backoffs:   p.backoffs,
-		Overload:   p.overload,
-		Poison:     p.poison,
-		Origins:    p.origins,
-		Identities: identities,
-		Pool:       p.pool,
-		Rollouts:   p.rollouts.choices(),
-		Moves:      p.movePlanner(),
-		BodyBytes:  int64(bodyShare * float64(p.cfg.MemoryMB) * (1 << 20)),
-		Reach:      p.reach,
-		Peers:      p.node,
-		PeerPool:   p.peerPool,
-		Metrics:    gateway.NewMetrics(p.metrics),
-		Log:        p.log,
-		KnownState: p.knownState,
-		IdleConns:  p.idleConns,
-		Now:        time.Now,
-		Random:     rand.Float64,
+		Protocol:      platform.Protocol{},
+		Config:        p.config,
+		Placer:        p.scheduler,
+		Allowance:     p.allowances,
+		Retries:       retry.NewSharedBudget(p.cfg.RetryShare, p.cfg.RetryExtra, p.node.Members, time.Now),
+		Usage:         p.usage,
+		Endpoints:     p.table,
+		RateLimits:    p.rateLimits,
+		Backoffs:      p.backoffs,
+		Overload:      p.overload,
+		Poison:        p.poison,
+		Origins:       p.origins,
+		Identities:    identities,
+		Pool:          p.pool,
+		Rollouts:      p.rollouts.choices(),
+		Moves:         p.movePlanner(),
+		BodyBytes:     int64(bodyShare * float64(p.cfg.MemoryMB) * (1 << 20)),
+		ResponseBytes: int64(responseShare * float64(p.cfg.MemoryMB) * (1 << 20)),
+		Reach:         p.reach,
+		Peers:         p.node,
+		PeerPool:      p.peerPool,
+		Metrics:       gateway.NewMetrics(p.metrics),
+		Log:           p.log,
+		KnownState:    p.knownState,
+		IdleConns:     p.idleConns,
+		Now:           time.Now,
+		Random:        rand.Float64,
 	})
 }
 
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -31,7 +31,8 @@
 
 // splitEvents calls write with complete events that continue the stream, as they arrive, until
 // the body ends or write returns false. It returns the number of bytes after the last of them.
-func splitEvents(body io.Reader, events *continuation, write func(accepted []byte) bool) (left int, err error) {
+func splitEvents(body io.Reader, partial *partialResponse, events *continuation, write func(accepted []byte) bool) (left int, err error) {
+	defer partial.release()
 	buf := make([]byte, 0, readSize)
 	chunk := make([]byte, readSize)
 	for {
@@ -44,6 +45,9 @@
 				return 0, errEvents
 			}
 			buf = append(buf[:0], buf[size:]...)
+			if len(buf) == 0 && cap(buf) > freeResponseBytes {
+				buf = make([]byte, 0, readSize)
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -52,6 +56,8 @@
 			return 0, err
 		case len(buf) > maxEventBytes:
 			return 0, errEventTooLarge
+		case !partial.hold(cap(buf)):
+			return 0, errResponseMemory
 		}
 	}
 }
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -202,12 +202,14 @@
 		return outcome{state: stateUnknown, reason: "stream not resumed"}
 	}
 	_ = f.conn.SetReadDeadline(time.Time{})
-	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	partial := f.gateway.newPartial(f.conn)
+	defer partial.release()
+	head, whole, err := partial.readHead(resp.Body, maxBufferedBytes)
 	if err != nil {
 		return outcome{state: stateUnknown, reason: "answer broke off", err: err}
 	}
 	response := &bufferedResponse{status: resp.StatusCode, header: f.gateway.Protocol.ResponseHeader(resp.Header), body: head, endpoint: f.addr}
-	if len(head) > maxBufferedBytes {
+	if !whole {
 		response.rest = resp.Body
 	}
 	f.deliver(response)
@@ -223,7 +225,7 @@
 	if events.resumes && !isEventStream(resp) {
 		return outcome{state: stateUnknown, reason: "stream not resumed"}
 	}
-	left, err := splitEvents(resp.Body, &events, func(accepted []byte) bool {
+	left, err := splitEvents(resp.Body, f.gateway.newPartial(f.conn), &events, func(accepted []byte) bool {
 		f.writeEvents(resp, accepted)
 		return true
 	})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/backoff"
+	"github.com/medlarsill/medlarsill/pkg/connbudget"
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/kvmove"
 	"github.com/medlarsill/medlarsill/pkg/overload"
@@ -148,6 +150,9 @@
 	Moves *kvmove.Planner
 	// BodyBytes is the memory that the bodies of all requests may take; 0 means no limit.
 	BodyBytes int64
+	// ResponseBytes is the memory that unfinished responses may take before they are passed on; 0 means
+	// no limit.
+	ResponseBytes int64
 	// Reach knows which services this instance doesn't reach. Their requests are forwarded to
 	// Peers over PeerPool.
 	Reach    Reach
@@ -171,6 +176,8 @@
 	retryDetector retryDetector
 	durations     durations
 	bodies        bodyRoom
+	// responses is the memory of responses that aren't passed on yet.
+	responses *connbudget.Heads
 	// largeResponses holds the names of the routes that have had a complete response
 	// larger than maxBufferedBytes.
 	largeResponses sync.Map
@@ -185,7 +192,12 @@
 // New returns a gateway.
 func New(o Options) *Gateway {
 	life, end := context.WithCancel(context.Background())
-	return &Gateway{Options: o, bodies: bodyRoom{limit: o.BodyBytes}, life: life, end: end}
+	return &Gateway{Options: o, bodies: bodyRoom{limit: o.BodyBytes}, responses: newResponseMemory(o.ResponseBytes), life: life, end: end}
+}
+
+// newPartial returns what counts the memory of a response that arrives on a connection.
+func (g *Gateway) newPartial(conn net.Conn) *partialResponse {
+	return &partialResponse{memory: g.responses, conn: conn}
 }
 
 // EndRequests ends all requests, those in progress as at their deadline: each gets an answer that
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -15,7 +15,7 @@
 
 // relayPlain forwards a response once it is complete, so that the request can be
 // retried if the response is cut short. The part of a large response beyond
-// maxBufferedBytes is forwarded as it arrives.
+// maxBufferedBytes, or for which there is no memory, is forwarded as it arrives.
 func (a *attempt) relayPlain(ctx context.Context, resp *http.Response) outcome {
 	g := a.gateway
 	if resp.StatusCode >= http.StatusBadRequest {
@@ -24,12 +24,14 @@
 	a.answering()
 	a.markRunning()
 	a.setBodyDeadline(resp)
-	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	partial := g.newPartial(a.conn)
+	defer partial.release()
+	head, whole, err := partial.readHead(resp.Body, maxBufferedBytes)
 	if err != nil {
 		return a.handleTruncated(ctx, err)
 	}
 	response := &bufferedResponse{status: resp.StatusCode, header: g.Protocol.ResponseHeader(resp.Header), body: head, endpoint: a.placement.Endpoint.ID}
-	if len(head) > maxBufferedBytes {
+	if !whole {
 		if a.mayBeEndless(resp) {
 			a.placement.Endpoint.RecordFailure()
 			return outcome{state: stateUnknown, reason: "answer without end"}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -17,7 +17,7 @@
 	if events.resumes && !isEventStream(resp) {
 		return a.failResumption()
 	}
-	left, err := splitEvents(resp.Body, &events, func(accepted []byte) bool { return a.writeEvents(ctx, resp, accepted) })
+	left, err := splitEvents(resp.Body, a.gateway.newPartial(a.conn), &events, func(accepted []byte) bool { return a.writeEvents(ctx, resp, accepted) })
 	switch a.endMove(ctx, resp, err, err == nil && left == 0 && !a.firstEvent.IsZero()) {
 	case endingMoves:
 		return outcome{state: stateUnknown, reason: "stream moves"}
