--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -147,7 +147,6 @@
 	ends := &upstream.EndChecker{Pool: p.pool, Others: p.table.OtherAddrs}
 	return poison.New(poison.Options{
 		Ended: ends.Ended, Broadcast: p.node.BroadcastCrashes, Metrics: p.metrics, Log: p.log, Now: time.Now,
-		Position: func(t poison.Trait) int { return p.node.Position(uint64(t)) },
 		MayProbe: func(t poison.Trait) bool { return p.registry.Settled() && !p.isolated() && p.node.Owns(uint64(t)) },
 	})
 }
--- a/pkg/gateway/poison.go
+++ b/pkg/gateway/poison.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -9,7 +8,6 @@
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/poison"
-	"github.com/medlarsill/medlarsill/pkg/sleep"
 )
 
 // PoisonGuard keeps requests that crash endpoints away from them.
@@ -18,8 +16,6 @@
 	Check(r poison.Request) poison.Verdict
 	// Blocked decides on a request that was sent before.
 	Blocked(r poison.Request) poison.Verdict
-	// MayTry reports whether a request may be sent that has waited for its turn since a time.
-	MayTry(r poison.Request, since time.Time) bool
 	// MayResend reports whether a request that broke off may be sent again.
 	MayResend(r poison.Request) bool
 	// ProbeNotSent records that a request that was to be a probe was not sent.
@@ -78,34 +74,6 @@
 	return ""
 }
 
-// mayNotSend returns why the request must not be sent, or "". It may wait first.
-func (c *call) mayNotSend(ctx context.Context) string {
-	if !c.awaitTurn(ctx) {
-		c.expectedWait = maxTurnWait
-		return reasonPoisonRequest
-	}
-	return c.poisoned()
-}
-
-const (
-	// maxTurnWait is the longest time for which a request waits for its turn, and turnInterval the time
-	// between two looks.
-	maxTurnWait  = 2 * time.Second
-	turnInterval = 25 * time.Millisecond
-)
-
-// awaitTurn waits until the request may be sent, and reports whether it may. Only one that probably crashes
-// endpoints waits. Its first tries decide whether the others are sent, too, or refused.
-func (c *call) awaitTurn(ctx context.Context) bool {
-	since := time.Now()
-	for !c.probe && !c.gateway.Poison.MayTry(c.traits, since) {
-		if time.Since(since) >= maxTurnWait || !sleep.For(ctx, turnInterval) {
-			return false
-		}
-	}
-	return true
-}
-
 // endProbe reports a probe that was not sent.
 func (c *call) endProbe() {
 	if c.probe && c.attempts == 0 {
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -85,7 +85,7 @@
 			c.failPlacement(ctx, err, last)
 			return
 		}
-		if reason := c.mayNotSend(ctx); reason != "" {
+		if reason := c.poisoned(); reason != "" {
 			p.End()
 			c.choice.Release()
 			c.finish(ctx, outcome{state: last.state, reason: reason})
--- a/pkg/gossip/members.go
+++ b/pkg/gossip/members.go
@@ -125,22 +125,17 @@
 
 // Owns reports whether this instance is the one, among itself and the reachable peers, that
 // a key belongs to. Instances that reach the same peers agree on it.
-func (n *Node) Owns(key uint64) bool { return n.Position(key) == 0 }
-
-// Position returns this instance's position, from 0, for a key among itself and the reachable
-// peers. The instance that the key belongs to is the first.
-func (n *Node) Position(key uint64) int {
+func (n *Node) Owns(key uint64) bool {
 	timeout := n.PeerTimeout()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	own := rendezvous.HashWeight(key, rendezvous.Key(n.ID))
-	position := 0
 	for id, p := range n.peers {
 		if n.Now().Sub(p.lastSeen) <= timeout && rendezvous.HashWeight(key, rendezvous.Key(id)) > own {
-			position++
+			return false
 		}
 	}
-	return position
+	return true
 }
 
 // ReachablePeerIDs returns the ids of the reachable peers.
--- a/pkg/poison/checks.go
+++ b/pkg/poison/checks.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"slices"
 	"time"
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
@@ -45,13 +44,10 @@
 
 // checkEnded records a crash if the process of an endpoint has ended.
 func (g *Guard) checkEnded(k endpoints.Key, e *endpoints.Endpoint) {
-	ended := g.Ended(e.Addr, func() { g.recordUnconfirmed(k) })
+	ended := g.Ended(e.Addr)
 	g.mu.Lock()
 	c := g.checks[k]
 	delete(g.checks, k)
-	if !ended {
-		g.log.refute(processOf(k))
-	}
 	g.mu.Unlock()
 	if ended {
 		g.recordCrash(k, append(c.broken, c.complete...))
@@ -74,17 +70,6 @@
 	g.next.Crashes = append(g.next.Crashes, crashReport{Process: processOf(k), Requests: suspected})
 }
 
-// recordUnconfirmed records that an endpoint may have crashed, as it refuses connections while no
-// other one accepts any.
-func (g *Guard) recordUnconfirmed(k endpoints.Key) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	c, now := g.checks[k], g.Now()
-	suspected := g.suspected(slices.Concat(c.broken, c.complete), now)
-	g.addUnconfirmed(processOf(k), suspected, now)
-	g.next.Unconfirmed = append(g.next.Unconfirmed, crashReport{Process: processOf(k), Requests: suspected})
-}
-
 // suspected returns the requests without the traits of which one was answered lately, and
 // without those that have no other. The caller must hold mu.
 func (g *Guard) suspected(requests []Request, now time.Time) []Request {
@@ -112,9 +97,3 @@
 	g.lastCrash = now
 	g.active.Store(true)
 }
-
-// addUnconfirmed records what may be a crash. The caller must hold mu.
-func (g *Guard) addUnconfirmed(p process, requests []Request, now time.Time) {
-	g.log.addUnconfirmed(p, requests, now)
-	g.active.Store(true)
-}
--- a/pkg/poison/crashlog.go
+++ b/pkg/poison/crashlog.go
@@ -9,8 +9,6 @@
 const (
 	// crashRetention is how long a crash is kept.
 	crashRetention = 10 * time.Minute
-	// unconfirmedRetention is the same for a crash that isn't confirmed.
-	unconfirmedRetention = 5 * time.Second
 	// maxCrashes is the largest number of crashes that are kept.
 	maxCrashes = 128
 	// maxRequests is the largest number of requests that are kept of a crash.
@@ -28,9 +26,6 @@
 	requests map[Trait]Request
 	// cause is the poison trait that accounts for the crash; 0 if none is known.
 	cause Trait
-	// unconfirmed is true as long as it isn't certain that the process has ended: the crash only
-	// makes requests suspected.
-	unconfirmed bool
 }
 
 // has reports whether a request with a trait broke off.
@@ -70,26 +65,12 @@
 
 // add records a crash, of which several instances may report different requests.
 func (l *crashLog) add(p process, requests []Request, now time.Time) *crash {
-	c := l.record(p, requests, now)
-	c.unconfirmed = false
-	return c
-}
-
-// addUnconfirmed records what may be a crash, unless there is no room.
-func (l *crashLog) addUnconfirmed(p process, requests []Request, now time.Time) {
-	if len(l.crashes) < maxCrashes {
-		l.record(p, requests, now)
-	}
-}
-
-// record is add for a crash that is unconfirmed if it is new.
-func (l *crashLog) record(p process, requests []Request, now time.Time) *crash {
 	i := slices.IndexFunc(l.crashes, func(c *crash) bool { return c.process == p })
 	if i < 0 {
 		if len(l.crashes) >= maxCrashes {
 			l.drop(1)
 		}
-		l.crashes = append(l.crashes, &crash{process: p, at: now, requests: make(map[Trait]Request), unconfirmed: true})
+		l.crashes = append(l.crashes, &crash{process: p, at: now, requests: make(map[Trait]Request)})
 		i = len(l.crashes) - 1
 	}
 	c := l.crashes[i]
@@ -115,7 +96,9 @@
 // drop removes the first n crashes.
 func (l *crashLog) drop(n int) {
 	for _, c := range l.crashes[:n] {
-		l.forgetRequests(c)
+		for _, r := range c.requests {
+			l.forget(r)
+		}
 	}
 	l.crashes = slices.Delete(l.crashes, 0, n)
 }
@@ -136,31 +119,6 @@
 		old++
 	}
 	l.drop(old)
-	l.crashes = slices.DeleteFunc(l.crashes, func(c *crash) bool {
-		expired := c.unconfirmed && now.Sub(c.at) > unconfirmedRetention
-		if expired {
-			l.forgetRequests(c)
-		}
-		return expired
-	})
-}
-
-// refute drops a crash that wasn't one.
-func (l *crashLog) refute(p process) {
-	l.crashes = slices.DeleteFunc(l.crashes, func(c *crash) bool {
-		refuted := c.unconfirmed && c.process == p
-		if refuted {
-			l.forgetRequests(c)
-		}
-		return refuted
-	})
-}
-
-// forgetRequests subtracts the traits of a crash's requests from the mentions.
-func (l *crashLog) forgetRequests(c *crash) {
-	for _, r := range c.requests {
-		l.forget(r)
-	}
 }
 
 // suspected reports whether there is evidence against a trait.
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -1,7 +1,9 @@
 package poison
 
 import (
+	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/medlarsill/medlarsill/pkg/endpoints"
+	"github.com/medlarsill/medlarsill/pkg/sleep"
 )
 
 const (
@@ -34,16 +37,12 @@
 
 // Options configures a Guard. All fields are required.
 type Options struct {
-	// Ended reports whether the process at an address has ended: it accepts no connections. It calls
-	// uncertain if that takes a while, as the links of this instance may be at fault.
-	Ended func(addr string, uncertain func()) bool
+	// Ended reports whether the process at an address has ended: it accepts no connections.
+	Ended func(addr string) bool
 	// Broadcast sends an encoded report to all peers. It doesn't block.
 	Broadcast func(data []byte)
 	// MayProbe reports whether this instance is the one that sends the probes of a trait.
 	MayProbe func(t Trait) bool
-	// Position returns this instance's position, from 0, in the order in which the instances try
-	// requests with a trait that are suspected.
-	Position func(t Trait) int
 	Metrics  prometheus.Registerer
 	Log      *slog.Logger
 	Now      func() time.Time
@@ -66,8 +65,6 @@
 	quarantine quarantine
 	// checks holds the endpoints that are to be checked.
 	checks map[endpoints.Key]*check
-	// nextTrial holds when a suspected request may be sent again.
-	nextTrial map[Trait]time.Time
 	// lastCrash is when a crash was last reported; zero if all evidence has been evaluated.
 	lastCrash time.Time
 	// next is to be reported, and soundReported when traits were last reported as sound.
@@ -79,7 +76,7 @@
 func New(o Options) *Guard {
 	return &Guard{
 		Options: o, metrics: newMetrics(o.Metrics), log: newCrashLog(), quarantine: newQuarantine(),
-		checks: make(map[endpoints.Key]*check), nextTrial: make(map[Trait]time.Time), soundReported: make(map[Trait]time.Time),
+		checks: make(map[endpoints.Key]*check), soundReported: make(map[Trait]time.Time),
 	}
 }
 
@@ -106,7 +103,7 @@
 	now := g.Now()
 	entries, v := g.quarantined(r, now)
 	if len(entries) == 0 {
-		return g.checkSuspected(r, now)
+		return Verdict{}
 	}
 	if v.RetryAfter > 0 || !g.mayProbe(entries) {
 		g.metrics.refused.Inc()
@@ -185,7 +182,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
-	delete(g.nextTrial, r.id())
 	entries, _ := g.quarantined(r, now)
 	for _, e := range entries {
 		e.probeAt, e.scheduledAt = now.Add(unsentProbeDelay), now
@@ -240,9 +236,6 @@
 	for _, c := range r.Crashes {
 		g.addCrash(c.Process, c.Requests, now)
 	}
-	for _, c := range r.Unconfirmed {
-		g.addUnconfirmed(c.Process, c.Requests, now)
-	}
 	for _, t := range r.Sound {
 		g.clear(t, now)
 	}
@@ -288,3 +281,106 @@
 	}
 	g.updateMetrics()
 }
+
+// Run evaluates the evidence and sends reports until the context ends.
+func (g *Guard) Run(ctx context.Context) error {
+	for sleep.For(ctx, TickInterval) {
+		g.Tick()
+	}
+	return nil
+}
+
+// Tick evaluates the evidence and sends what is to be reported.
+func (g *Guard) Tick() {
+	for _, r := range g.tick() {
+		g.send(r)
+	}
+}
+
+// tick returns the reports to be sent.
+func (g *Guard) tick() []report {
+	if !g.active.Load() {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	g.log.expire(now)
+	g.evaluate(now)
+	g.quarantine.expire(now)
+	g.updateMetrics()
+	if count := len(g.next.Crashes); count > maxReportedCrashes {
+		g.Log.Info("many endpoints ended at once; not reported", "endpoints", count)
+		g.next.Crashes = nil
+	}
+	var out []report
+	for !g.next.empty() {
+		out = append(out, g.next.take())
+	}
+	maps.DeleteFunc(g.soundReported, func(_ Trait, at time.Time) bool { return now.Sub(at) >= soundReportInterval })
+	if len(g.log.crashes)+len(g.quarantine.entries)+len(g.quarantine.released) == 0 {
+		g.active.Store(false)
+	}
+	return out
+}
+
+// evaluate puts traits against which there is enough evidence into quarantine. The caller must
+// hold mu.
+func (g *Guard) evaluate(now time.Time) {
+	if g.lastCrash.IsZero() {
+		return
+	}
+	for _, find := range []func(now time.Time) []Trait{g.log.poisonParts, g.log.poisonRequests} {
+		for _, t := range find(now) {
+			g.convict(t, now)
+		}
+	}
+	g.countSentBefore(now)
+	if now.Sub(g.lastCrash) >= settleTime {
+		g.lastCrash = time.Time{}
+	}
+}
+
+// countSentBefore counts crashes under requests that were on their way when these were put into
+// quarantine as probes, as those before are. The caller must hold mu.
+func (g *Guard) countSentBefore(now time.Time) {
+	for t, e := range g.quarantine.entries {
+		if now.Sub(e.since) >= checkDelay {
+			continue
+		}
+		late := g.log.lateCrashes(t)
+		for e.probes < late {
+			e.scheduleProbe(t.kind(), now)
+			g.reportEntry(t, e, now)
+		}
+	}
+}
+
+// convict puts a trait into quarantine. The caller must hold mu.
+func (g *Guard) convict(t Trait, now time.Time) {
+	late := g.log.lateCrashes(t)
+	g.log.explain(t)
+	if !g.quarantine.add(t, late, now) {
+		return
+	}
+	g.Log.Warn("request crashes endpoints", "kind", t.kind().String(), "trait", t.hash(), "source", "own evidence")
+	g.reportEntry(t, g.quarantine.entries[t], now)
+}
+
+// reportEntry adds an entry to the next report. The caller must hold mu.
+func (g *Guard) reportEntry(t Trait, e *entry, now time.Time) {
+	g.next.Entries = append(g.next.Entries, e.toEntry(t, now))
+}
+
+func (g *Guard) updateMetrics() { g.metrics.quarantined.Set(float64(len(g.quarantine.entries))) }
+
+// send sends a report twice, since datagrams may be lost.
+func (g *Guard) send(r report) {
+	data, err := r.encode()
+	if err != nil {
+		g.Log.Error("failed to encode report of crashes", "error", err.Error())
+		return
+	}
+	g.Broadcast(data)
+	time.AfterFunc(repeatDelay, func() { g.Broadcast(data) })
+}
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -188,7 +188,7 @@
 // newGuard returns a guard on a clock, of which each endpoint has ended.
 func newGuard(now func() time.Time) *Guard {
 	return New(Options{
-		Ended: func(string, func()) bool { return true }, Broadcast: func([]byte) {}, MayProbe: func(Trait) bool { return true }, Position: func(Trait) int { return 0 },
+		Ended: func(string) bool { return true }, Broadcast: func([]byte) {}, MayProbe: func(Trait) bool { return true },
 		Metrics: prometheus.NewRegistry(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: now,
 	})
 }
--- a/pkg/poison/report.go
+++ b/pkg/poison/report.go
@@ -23,14 +23,6 @@
 	Sound   []Trait
 	// Entries holds traits whose quarantine has changed.
 	Entries []Entry
-	// Unconfirmed holds ends of endpoints that the instance can't confirm yet. It is sent apart
-	// from the rest, as an unconfirmedReport.
-	Unconfirmed []crashReport `cbor:"-"`
-}
-
-// unconfirmedReport is a report of nothing but ends that aren't confirmed.
-type unconfirmedReport struct {
-	Crashes []crashReport `cbor:"1,keyasint"`
 }
 
 // crashReport is a crash with the requests that broke off.
@@ -40,25 +32,15 @@
 	Requests []Request
 }
 
-func (r *report) empty() bool {
-	return len(r.Crashes)+len(r.Sound)+len(r.Entries)+len(r.Unconfirmed) == 0
-}
+func (r *report) empty() bool { return len(r.Crashes)+len(r.Sound)+len(r.Entries) == 0 }
 
 func (r *report) encode() ([]byte, error) {
-	var message any = r
-	if len(r.Unconfirmed) > 0 {
-		message = unconfirmedReport{Crashes: r.Unconfirmed}
-	}
-	data, err := cbor.Marshal(message)
+	data, err := cbor.Marshal(r)
 	return data, eris.Wrap(err, "poison: encode report")
 }
 
 func decodeReport(data []byte) (report, error) {
 	var r report
-	var u unconfirmedReport
-	if cbor.Unmarshal(data, &u) == nil && len(u.Crashes) > 0 {
-		return report{Unconfirmed: u.Crashes}, nil
-	}
 	if err := cbor.Unmarshal(data, &r); err != nil {
 		return report{}, eris.Wrap(ErrReport, err.Error())
 	}
@@ -68,27 +50,17 @@
 // take removes and returns the next part of what is to be reported that fits into one
 // datagram.
 func (r *report) take() report {
-	if len(r.Unconfirmed) > 0 {
-		return report{Unconfirmed: takeCrashes(&r.Unconfirmed, maxReportTraits)}
-	}
 	out := report{Sound: cut(&r.Sound, maxReportTraits), Entries: cut(&r.Entries, maxReportCrashes)}
-	out.Crashes = takeCrashes(&r.Crashes, maxReportTraits-len(out.Sound))
-	return out
-}
-
-// takeCrashes removes and returns the next crashes of a list that have at most as many traits as
-// are left for them.
-func takeCrashes(list *[]crashReport, left int) []crashReport {
-	var out []crashReport
-	for len(*list) > 0 && len(out) < maxReportCrashes && left >= maxRequestTraits {
-		c := &(*list)[0]
+	left := maxReportTraits - len(out.Sound)
+	for len(r.Crashes) > 0 && len(out.Crashes) < maxReportCrashes && left >= maxRequestTraits {
+		c := &r.Crashes[0]
 		requests := cut(&c.Requests, requestsWithin(c.Requests, left))
 		for _, q := range requests {
 			left -= len(q.traits())
 		}
-		out = append(out, crashReport{Process: c.Process, Requests: requests})
+		out.Crashes = append(out.Crashes, crashReport{Process: c.Process, Requests: requests})
 		if len(c.Requests) == 0 {
-			*list = (*list)[1:]
+			r.Crashes = r.Crashes[1:]
 		}
 	}
 	return out
--- a/pkg/poison/stored.go
+++ b/pkg/poison/stored.go
@@ -84,7 +84,7 @@
 func (l *crashLog) countCrashes() map[Trait]int {
 	counts := make(map[Trait]int)
 	for _, c := range l.crashes {
-		if !c.countsForRequests() {
+		if c.cause != 0 {
 			continue
 		}
 		seen := make(map[Trait]bool)
@@ -103,7 +103,7 @@
 // suspectedBy returns the requests of a crash with those traits that have enough crashes to be
 // stored.
 func (c *crash) suspectedBy(counts map[Trait]int) []Request {
-	if !c.countsForRequests() {
+	if c.cause != 0 {
 		return nil
 	}
 	var out []Request
--- a/pkg/upstream/ended.go
+++ b/pkg/upstream/ended.go
@@ -20,8 +20,8 @@
 
 // Ended reports whether the process at an address has ended: the address refuses connections
 // while another one accepts them, if there is another. If none does, it waits until one does or
-// until it is too late to tell. It calls uncertain, once, when it begins to wait.
-func (c *EndChecker) Ended(addr string, uncertain func()) bool {
+// until it is too late to tell.
+func (c *EndChecker) Ended(addr string) bool {
 	until := c.Pool.Now().Add(compareTime)
 	for n := 0; c.Pool.Now().Before(until); n++ {
 		if !c.Pool.Refuses(addr) {
@@ -35,9 +35,6 @@
 			// The links may have been repaired after the address refused.
 			return c.Pool.Refuses(addr)
 		}
-		if n == 0 {
-			uncertain()
-		}
 		time.Sleep(compareInterval)
 	}
 	return false
--- a/pkg/upstream/ended_test.go
+++ b/pkg/upstream/ended_test.go
@@ -41,16 +41,14 @@
 		// own and others are the times for which the address and the others refuse.
 		own    time.Duration
 		others []time.Duration
-		// uncertain is the number of calls that tell that it can't be told yet.
-		uncertain int
-		want      bool
+		want   bool
 	}{
 		"ended":                      {own: time.Hour, others: []time.Duration{never, never}, want: true},
 		"goes on":                    {own: never, others: []time.Duration{never}, want: false},
-		"links fail for a time":      {own: time.Second, others: []time.Duration{time.Second, time.Second}, uncertain: 1, want: false},
-		"links fail for long":        {own: time.Hour, others: []time.Duration{time.Hour, time.Hour}, uncertain: 1, want: false},
+		"links fail for a time":      {own: time.Second, others: []time.Duration{time.Second, time.Second}, want: false},
+		"links fail for long":        {own: time.Hour, others: []time.Duration{time.Hour, time.Hour}, want: false},
 		"most others have ended too": {own: time.Hour, others: []time.Duration{time.Hour, time.Hour, time.Hour, time.Hour, time.Hour, never}, want: true},
-		"others are back first":      {own: time.Hour, others: []time.Duration{time.Second, time.Hour}, uncertain: 1, want: true},
+		"others are back first":      {own: time.Hour, others: []time.Duration{time.Second, time.Hour}, want: true},
 		"no others":                  {own: time.Hour, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -62,9 +60,7 @@
 					others = append(others, addr)
 					w.refusing[addr] = time.Now().Add(d)
 				}
-				g, uncertain := NewWithT(t), 0
-				g.Expect(w.checker(others...).Ended("own", func() { uncertain++ })).To(Equal(c.want))
-				g.Expect(uncertain).To(Equal(c.uncertain))
+				NewWithT(t).Expect(w.checker(others...).Ended("own")).To(Equal(c.want))
 			})
 		})
 	}
@@ -77,7 +73,7 @@
 		g := NewWithT(t)
 		w := &endWorld{refusing: map[string]time.Time{"own": time.Now().Add(time.Hour)}, hanging: map[string]bool{"a": true, "b": true, "c": true, "d": true}}
 		start := time.Now()
-		g.Expect(w.checker("a", "b", "c", "d").Ended("own", func() {})).To(BeFalse())
+		g.Expect(w.checker("a", "b", "c", "d").Ended("own")).To(BeFalse())
 		g.Expect(time.Since(start)).To(BeNumerically("<=", compareTime+DefaultDialTimeout+compareInterval))
 	})
 }
