review: a stream goes on at a server of another version

Rule: ORDER, a stream goes on only at the version that began it. Order of events: a server ends and starts again under its id with another version; before it has written its entry, another server ends whose streams look for a place.

--- /dev/null
+++ b/review/stand2/main.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// The exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// cases holds the cases by name. A case returns whether the rule was broken.
+var cases = map[string]func(w *world) (broken bool, err error){
+	"path":    changedPath,
+	"upgrade": upgradeInPlace,
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	if len(args) != 2 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER")
+		return exitNotRun
+	}
+	r, err := newRecord(args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer r.file.Close()
+	w, err := newWorld(r, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer w.close()
+	broken, err := cases[args[0]](w)
+	switch {
+	case err != nil:
+		r.line("not run: %v", err)
+		fmt.Println("not run:", err)
+		return exitNotRun
+	case broken:
+		r.line("result: broken")
+		fmt.Println("broken")
+		return exitBroken
+	}
+	r.line("result: held")
+	fmt.Println("held")
+	return exitHeld
+}
