--- a/review/stand2/endpoint.go
+++ b/review/stand2/endpoint.go
@@ -20,6 +20,8 @@
 	// eventTime is the time between two events of a stream, and events their number.
 	eventTime time.Duration
 	events    int
+	// unframed is true if only the end of the connection ends a stream.
+	unframed bool
 	// began is called when a request begins to run; nil for nothing.
 	began func(e *endpoint, r *http.Request)
 
@@ -158,6 +160,10 @@
 // stream writes the events after the last one that the request names.
 func (e *endpoint) stream(p *life, version string, w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if e.unframed {
+		// net/http then sends neither a length nor chunks, and closes the connection.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= e.events; n++ {
 		select {
--- a/review/stand2/upgrade.go
+++ b/review/stand2/upgrade.go
@@ -7,12 +7,15 @@
 	"time"
 )
 
-// streamConfig is a configuration with one route, of streams that may be resumed.
-const streamConfig = `{"version":1,"routes":[
+// streamConfigWith returns a configuration with one route, of streams that may be resumed, to engines with
+// a number of slots.
+func streamConfigWith(slots int) string {
+	return fmt.Sprintf(`{"version":1,"routes":[
  {"name":"r-s","host":"a.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":12000,"targetLatencyMs":600,"gapTargetMs":300,"priority":1,"service":"s1","maxAttempts":3,"streamResume":true}],
- "services":[{"name":"s1","maxConns":480,"engine":{"slots":8,"kvTokens":1000000,"stride":5}}],
+ "services":[{"name":"s1","maxConns":480,"engine":{"slots":%d,"kvTokens":1000000,"stride":5}}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"w1","apiKeys":["k1"],"ratePerS":0,"burst":0}]}`
+ "tenants":[{"name":"w1","apiKeys":["k1"],"ratePerS":0,"burst":0}]}`, slots)
+}
 
 // followStream asks for a stream, and takes it up again where it broke. It reports whether the caller got
 // events of two versions.
@@ -70,7 +73,7 @@
 		e.register()
 		servers = append(servers, e)
 	}
-	w.store.Put("config", "main", streamConfig)
+	w.store.Put("config", "main", streamConfigWith(8))
 	w.addGateways(6)
 	if err := w.startGateways(); err != nil {
 		return false, err
