--- a/review/stand2/upgrade.go
+++ b/review/stand2/upgrade.go
@@ -23,7 +23,7 @@
 	end := time.Now().Add(deadline)
 	var got []event
 	first, turn := "", n
-	for try := 0; try < 4 && time.Until(end) > 100*time.Millisecond; try++ {
+	for try := 0; try < 3 && time.Until(end) > 100*time.Millisecond; try++ {
 		header := http.Header{"X-Model": {"m"}, "X-Token-Count": {"200,250"}, "X-Prefix-Hash": {fmt.Sprintf("%x:200", n)}}
 		if len(got) > 0 {
 			header.Set("Last-Event-Id", fmt.Sprint(got[len(got)-1].id))
@@ -54,8 +54,8 @@
 // has begun to serve, and the next one follows upgradeStep after it.
 const (
 	downTime     = 400 * time.Millisecond
-	registerTime = 400 * time.Millisecond
-	upgradeStep  = 600 * time.Millisecond
+	registerTime = 600 * time.Millisecond
+	upgradeStep  = 500 * time.Millisecond
 )
 
 // upgradeInPlace: servers end one after another and start again under their ids with another version.
