--- a/review/stand2/upgrade.go
+++ b/review/stand2/upgrade.go
@@ -58,7 +58,7 @@
 	upgradeStep  = 500 * time.Millisecond
 )
 
-// upgradeInPlace: servers end one after another and start again under their ids with another version.
+// upgradeInPlace: servers end one after another and start again under their ids with another version, twice.
 func upgradeInPlace(w *world) (bool, error) {
 	var servers []*endpoint
 	for i := range 8 {
@@ -82,7 +82,7 @@
 	var calls sync.WaitGroup
 	var mu sync.Mutex
 	mixed, total := 0, 0
-	until := time.Now().Add(16 * time.Second)
+	until := time.Now().Add(22 * time.Second)
 	for n := range 52 {
 		calls.Go(func() {
 			time.Sleep(time.Duration(n) * 100 * time.Millisecond)
@@ -98,10 +98,12 @@
 		})
 	}
 	if w.trouble {
-		time.Sleep(5 * time.Second)
-		for _, e := range servers[:7] {
-			calls.Go(func() { restart(e) })
-			time.Sleep(upgradeStep)
+		for _, version := range []string{"v2", "v3"} {
+			time.Sleep(5 * time.Second)
+			for _, e := range servers[:7] {
+				calls.Go(func() { restart(e, version) })
+				time.Sleep(upgradeStep)
+			}
 		}
 	}
 	calls.Wait()
@@ -110,10 +112,10 @@
 }
 
 // restart replaces a server by one of another version, which registers a moment after it has begun to serve.
-func restart(e *endpoint) {
+func restart(e *endpoint, version string) {
 	e.crash()
 	time.Sleep(downTime)
-	if err := e.start("v2"); err != nil {
+	if err := e.start(version); err != nil {
 		e.world.record.line("server %s does not start: %v", e.id, err)
 		return
 	}
