review: a part of prompts that crashes servers crashes all of them twice

Rule: BUDGET, at most three requests with such a part arrive later than contactMs after the fifth crash. Order of events: requests with the part crash all servers at once; the others wait at the gateways and are sent when the servers are back.

--- a/review/stand2/endpoint.go
+++ b/review/stand2/endpoint.go
@@ -81,12 +81,16 @@
 	return nil
 }
 
-// crash ends the process: its connections are reset, and new ones refused.
-func (e *endpoint) crash() {
+// crash ends the process: its connections are reset, and new ones refused. It returns false if the process
+// has ended already.
+func (e *endpoint) crash() bool {
 	e.mu.Lock()
 	p := e.life
 	e.life = nil
 	e.mu.Unlock()
+	if p == nil {
+		return false
+	}
 	p.end()
 	p.mu.Lock()
 	for c := range p.conns {
@@ -97,6 +101,7 @@
 	p.mu.Unlock()
 	_ = p.server.Close()
 	e.world.record.line("server %s crashes", e.id)
+	return true
 }
 
 // register writes the endpoint's entry in the store as it is now.
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -15,8 +15,8 @@
 // cases holds the cases by name. A case returns whether the rule was broken.
 var cases = map[string]func(w *world) (broken bool, err error){
 	"encoded": encodedSlash,
-	"options": optionsOfNoPath,
 	"outage":  takeUpAfterOutage,
+	"part":    crashingPart,
 	"path":    changedPath,
 	"upgrade": upgradeInPlace,
 }
