--- a/review/stand2/gateway.go
+++ b/review/stand2/gateway.go
@@ -87,6 +87,7 @@
 	}
 	cmd := exec.Command(gatewayProgram, "--settings", file, "--set=max_fds=4200", "--set=rollout_share=", "--set=rollout_slack=", "--set=rollout_rollback_ms=")
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if this process is killed
 	if err := cmd.Start(); err != nil {
 		log.Close()
 		return err
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -3,8 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longestRun is the time after which a case is ended.
+const longestRun = 115 * time.Second
+
 // The exit codes of a case.
 const (
 	exitHeld   = 0
@@ -40,6 +46,7 @@
 		return exitNotRun
 	}
 	defer w.close()
+	go endEarly(w)
 	broken, err := cases[args[0]](w)
 	switch {
 	case err != nil:
@@ -55,3 +62,17 @@
 	fmt.Println("held")
 	return exitHeld
 }
+
+// endEarly ends all processes at a signal, or when the case takes too long.
+func endEarly(w *world) {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case s := <-stop:
+		w.record.line("not run: %v", s)
+	case <-time.After(longestRun):
+		w.record.line("not run: not done after %v", longestRun)
+	}
+	w.close()
+	os.Exit(exitNotRun)
+}
