--- a/review/stand2/caller.go
+++ b/review/stand2/caller.go
@@ -38,9 +38,9 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
-	req.Header.Set("X-Request-Id", id)
+	req.Header.Set(wireHeader("requestID"), id)
 	req.Header.Set("Authorization", "Token "+key)
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set(wireHeader("deadline"), strconv.FormatInt(deadline.Milliseconds(), 10))
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
 	w.record.line("caller sends %s %s %s to %s %v", id, method, path, g.name, header)
 	resp, err := client.Do(req)
--- a/review/stand2/encoded.go
+++ b/review/stand2/encoded.go
@@ -8,14 +8,9 @@
 	"time"
 )
 
-// twoKindsConfig is a configuration with two routes of one host to one service: requests below /beds/ may be
+// twoKindsConfig names a configuration with two routes of one host to one service: requests below /beds/ may be
 // repeated, all others not.
-const twoKindsConfig = `{"version":1,"routes":[
- {"name":"r-i","host":"a.example","pathPrefix":"/beds/","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":150,"priority":1,"service":"s1","maxAttempts":3},
- {"name":"r-n","host":"a.example","pathPrefix":"/","kind":"non_idempotent","timeoutMs":1500,"targetLatencyMs":150,"priority":1,"service":"s1","maxAttempts":1}],
- "services":[{"name":"s1","maxConns":96}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"w1","apiKeys":["k1"],"ratePerS":0,"burst":0}]}`
+const twoKindsConfig = "kinds.json"
 
 // The dose of lost answers: the share of the servers, and that of their answers.
 const (
@@ -37,12 +32,12 @@
 		e := &endpoint{id: fmt.Sprintf("i-%d", i), addr: addr, service: "s1", slots: 6, world: w}
 		e.began = func(_ *endpoint, r *http.Request) {
 			mu.Lock()
-			runs[r.Header.Get("X-Request-Id")]++
+			runs[r.Header.Get(wireHeader("requestID"))]++
 			lost := w.trouble && i < losingServers && random.Float64() < lostShare
 			mu.Unlock()
 			time.Sleep(30 * time.Millisecond)
 			if lost {
-				w.record.line("server %s runs %s and loses the answer", e.id, r.Header.Get("X-Request-Id"))
+				w.record.line("server %s runs %s and loses the answer", e.id, r.Header.Get(wireHeader("requestID")))
 				panic(http.ErrAbortHandler)
 			}
 		}
@@ -51,7 +46,7 @@
 		}
 		e.register()
 	}
-	w.store.Put("config", "main", twoKindsConfig)
+	w.store.Put("config", "main", wireFile(twoKindsConfig))
 	w.addGateways(2)
 	if err := w.startGateways(); err != nil {
 		return false, err
--- a/review/stand2/endpoint.go
+++ b/review/stand2/endpoint.go
@@ -109,7 +109,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.beat++
-	e.world.store.Put("servers", e.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"bp-a","version":%q,"slots":%d,"state":"ready","coldRemainingMs":0,"sequence":%d,"born":%d}`,
+	e.world.store.Put("servers", e.id, fmt.Sprintf(wireFile("entry.txt"),
 		e.service, e.addr, e.version, e.slots, e.beat, e.born))
 	e.world.record.line("server %s registers: version %s, born %d", e.id, e.version, e.born)
 }
@@ -136,16 +136,16 @@
 // serve answers a request.
 func (e *endpoint) serve(p *life, version string, w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(wireHeader("requestID"))
 	h := w.Header()
-	h.Set("X-Request-Id", id)
-	if r.Header.Get("X-Expect-Instance") != e.id {
-		h.Set("X-Not-Run", "1")
+	h.Set(wireHeader("requestID"), id)
+	if r.Header.Get(wireHeader("expected")) != e.id {
+		h.Set(wireHeader("notRun"), "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if !e.take(p) {
-		h.Set("X-Not-Run", "1")
+		h.Set(wireHeader("notRun"), "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -154,7 +154,7 @@
 		e.began(e, r)
 	}
 	e.world.record.line("server %s (%s) runs %s %s last-event=%q", e.id, version, id, r.RequestURI, r.Header.Get("Last-Event-Id"))
-	h.Set("X-Response-Stamp", "stamp-"+e.id+"-"+id)
+	h.Set(wireHeader("stamp"), "stamp-"+e.id+"-"+id)
 	if !strings.HasSuffix(r.URL.Path, "/stream") {
 		fmt.Fprintf(w, "answer of %s to %s", e.id, id)
 		return
--- a/review/stand2/outage.go
+++ b/review/stand2/outage.go
@@ -42,7 +42,7 @@
 	end := time.Now().Add(streamTimeout)
 	first, last := "", 0
 	for try := 0; try < 2 && time.Until(end) > 100*time.Millisecond; try++ {
-		header := http.Header{"X-Model": {"m"}, "X-Token-Count": {"200,250"}, "X-Prefix-Hash": {fmt.Sprintf("%x:200", n)}}
+		header := http.Header{"X-Model": {"m"}, wireHeader("tokens"): {"200,250"}, wireHeader("prefix"): {fmt.Sprintf("%x:200", n)}}
 		if last > 0 {
 			header.Set("Last-Event-Id", fmt.Sprint(last))
 			header["Resumes"] = []string{first}
--- a/review/stand2/part.go
+++ b/review/stand2/part.go
@@ -30,8 +30,8 @@
 	arrivals := make(map[string][]time.Time)
 	var calls sync.WaitGroup
 	began := func(e *endpoint, r *http.Request) {
-		id := r.Header.Get("X-Request-Id")
-		bad := strings.Contains(r.Header.Get("X-Prefix-Hash"), badPart+":")
+		id := r.Header.Get(wireHeader("requestID"))
+		bad := strings.Contains(r.Header.Get(wireHeader("prefix")), badPart+":")
 		if bad {
 			mu.Lock()
 			arrivals[id] = append(arrivals[id], time.Now())
@@ -73,7 +73,7 @@
 	time.Sleep(3 * time.Second)
 	send := func(n int, parts string) {
 		calls.Go(func() {
-			header := http.Header{"X-Model": {"m"}, "X-Token-Count": {"400,50"}, "X-Prefix-Hash": {parts}}
+			header := http.Header{"X-Model": {"m"}, wireHeader("tokens"): {"400,50"}, wireHeader("prefix"): {parts}}
 			w.streamAttempt(w.gateways[n%len(w.gateways)], "/s/stream", 3*time.Second, header)
 		})
 	}
--- a/review/stand2/path.go
+++ b/review/stand2/path.go
@@ -7,12 +7,8 @@
 	"time"
 )
 
-// plainConfig is a configuration with one route, of requests that run once at most, for all paths.
-const plainConfig = `{"version":1,"routes":[
- {"name":"r-n","host":"a.example","pathPrefix":"/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":150,"priority":1,"service":"s1","maxAttempts":1}],
- "services":[{"name":"s1","maxConns":96}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"w1","apiKeys":["k1"],"ratePerS":0,"burst":0}]}`
+// plainConfig names a configuration with one route, of requests that run once at most, for all paths.
+const plainConfig = "plain.json"
 
 // changedPath: callers send requests whose paths begin with an empty segment.
 func changedPath(w *world) (bool, error) {
@@ -26,14 +22,14 @@
 	e.began = func(_ *endpoint, r *http.Request) {
 		mu.Lock()
 		defer mu.Unlock()
-		ran[r.Header.Get("X-Request-Id")] = r.URL.RequestURI()
+		ran[r.Header.Get(wireHeader("requestID"))] = r.URL.RequestURI()
 		w.record.line("server reads %s %s: host %s, path %s", r.Method, r.RequestURI, r.Host, r.URL.Path)
 	}
 	if err := e.start("v1"); err != nil {
 		return false, err
 	}
 	e.register()
-	w.store.Put("config", "main", plainConfig)
+	w.store.Put("config", "main", wireFile(plainConfig))
 	w.addGateways(2)
 	if err := w.startGateways(); err != nil {
 		return false, err
--- a/review/stand2/upgrade.go
+++ b/review/stand2/upgrade.go
@@ -10,11 +10,7 @@
 // streamConfigWith returns a configuration with one route, of streams that may be resumed, to engines with
 // a number of slots.
 func streamConfigWith(slots int) string {
-	return fmt.Sprintf(`{"version":1,"routes":[
- {"name":"r-s","host":"a.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":12000,"targetLatencyMs":600,"gapTargetMs":300,"priority":1,"service":"s1","maxAttempts":3,"streamResume":true}],
- "services":[{"name":"s1","maxConns":480,"engine":{"slots":%d,"kvTokens":1000000,"stride":5}}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"w1","apiKeys":["k1"],"ratePerS":0,"burst":0}]}`, slots)
+	return fmt.Sprintf(wireFile("streams.json"), slots)
 }
 
 // followStream asks for a stream, and takes it up again where it broke. It reports whether the caller got
@@ -24,7 +20,7 @@
 	var got []event
 	first, turn := "", n
 	for try := 0; try < 3 && time.Until(end) > 100*time.Millisecond; try++ {
-		header := http.Header{"X-Model": {"m"}, "X-Token-Count": {"200,250"}, "X-Prefix-Hash": {fmt.Sprintf("%x:200", n)}}
+		header := http.Header{"X-Model": {"m"}, wireHeader("tokens"): {"200,250"}, wireHeader("prefix"): {fmt.Sprintf("%x:200", n)}}
 		if len(got) > 0 {
 			header.Set("Last-Event-Id", fmt.Sprint(got[len(got)-1].id))
 			header["Resumes"] = []string{first}
