--- a/review/stand2/outage.go
+++ b/review/stand2/outage.go
@@ -23,7 +23,7 @@
 )
 
 // outageStreams is the number of streams at a time.
-const outageStreams = 240
+const outageStreams = 270
 
 // tally counts streams that were sent, and those of which an event came.
 type tally struct{ sent, went int }
