review: doses bounded and quoted; the bound of case 9 lies apart from the servers' return

BUDGET (9): servers are back 4 s after a crash, not at contactMs itself. TWICE (8): answers are lost for 4 s at most, as the site lists.

--- a/review/stand2/encoded.go
+++ b/review/stand2/encoded.go
@@ -12,17 +12,19 @@
 // repeated, all others not.
 const twoKindsConfig = "kinds.json"
 
-// The dose of lost answers: the share of the servers, and that of their answers.
+// The dose of lost answers: the share of the servers, that of their answers, and for how long.
 const (
 	losingServers = 2
 	allServers    = 4
 	lostShare     = 0.05
+	lossTime      = 4 * time.Second
 )
 
 // encodedSlash: servers run requests and lose some of the answers. The callers' paths have an encoded slash.
 func encodedSlash(w *world) (bool, error) {
 	var mu sync.Mutex
 	runs := make(map[string]int)
+	var began time.Time
 	random := rand.New(rand.NewPCG(1, 2))
 	for i := range allServers {
 		addr, err := freeAddr()
@@ -33,7 +35,7 @@
 		e.began = func(_ *endpoint, r *http.Request) {
 			mu.Lock()
 			runs[r.Header.Get(wireHeader("requestID"))]++
-			lost := w.trouble && i < losingServers && random.Float64() < lostShare
+			lost := w.trouble && i < losingServers && time.Since(began) < lossTime && random.Float64() < lostShare
 			mu.Unlock()
 			time.Sleep(30 * time.Millisecond)
 			if lost {
@@ -51,6 +53,7 @@
 	if err := w.startGateways(); err != nil {
 		return false, err
 	}
+	began = time.Now()
 	var calls sync.WaitGroup
 	for n := range 8 {
 		calls.Go(func() {
--- a/review/stand2/part.go
+++ b/review/stand2/part.go
@@ -13,9 +13,9 @@
 	badPart       = "bad0"
 	badInterval   = 50 * time.Millisecond
 	soundInterval = 9 * time.Millisecond
-	partRuns      = 40 * time.Second
+	partRuns      = 24 * time.Second
 	// backAfter is the time until a crashed server is back.
-	backAfter = 3 * time.Second
+	backAfter = 4 * time.Second
 	// countedCrashes and contact are the crashes, and the time after them, from which on arrivals count.
 	countedCrashes = 5
 	contact        = 3 * time.Second
