upstream: a response without a valid status is an error

Callers saw: an answer of an endpoint, or of a peer, with a status from 600 on as an answer; and after a head with a status below 100, the answer that followed it on the connection, as the first head was skipped as an informational one.

Cause: net/http.ReadResponse takes any three characters that strconv.Atoi reads as a status, and any version; upstream skipped all statuses below 200. By RFC 9110, 15, only 100 to 599 are statuses, and another one counts as a server's failure.

Change: pkg/httpconn follows the bytes of a response up to the end of its head and ends the read there if the head isn't well-formed. Whatever the reader makes of such a head, it never gets a whole one. upstream and so gateways' calls to endpoints and peers read through it; its limit replaces the one of upstream. The error means that the request may have run, as with any other answer that can't be read. A switch of protocols, which nobody asks for, is malformed too.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -17,6 +17,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"github.com/medlarsill/medlarsill/pkg/httpconn"
 )
 
 // Errors of Pool.Get and Conn.Do, possibly wrapped.
@@ -43,11 +45,11 @@
 // Conn is one connection to an endpoint. It carries one request at a time.
 type Conn struct {
 	net.Conn
-	// br reads from the connection through head and reader.
-	br       *bufio.Reader
-	head     *headLimiter
-	reader   *deadlineReader
-	openedAt time.Time
+	// br reads from the connection through responses and reader.
+	br        *bufio.Reader
+	responses *httpconn.Conn
+	reader    *deadlineReader
+	openedAt  time.Time
 	// idleSince is when the connection was last returned to the pool.
 	idleSince time.Time
 	// idleTimeout is the endpoint's timeout for idle connections; 0 if unknown.
@@ -64,9 +66,9 @@
 const maxRefused = 256
 
 func newConn(c net.Conn, openedAt time.Time) *Conn {
-	reader := &deadlineReader{Conn: c}
-	head := &headLimiter{r: reader}
-	return &Conn{Conn: c, openedAt: openedAt, br: bufio.NewReaderSize(head, bufferBytes), head: head, reader: reader}
+	responses := httpconn.New(c)
+	reader := &deadlineReader{Conn: responses}
+	return &Conn{Conn: c, openedAt: openedAt, br: bufio.NewReaderSize(reader, bufferBytes), responses: responses, reader: reader}
 }
 
 // Reused reports whether the connection has carried an earlier request.
@@ -163,8 +165,13 @@
 
 // readHead reads the header of one response.
 func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
-	c.head.start()
-	defer c.head.end()
+	ahead, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.responses.ExpectResponse(ahead); err != nil {
+		return nil, err
+	}
 	return http.ReadResponse(c.br, req)
 }
 
