httpconn: a line of a head that is no field is an error

Callers saw: an answer without a line of its head, where the name of a field held a blank; the answer with more bytes than its "Content-Length : 5" said; and one whose body held the lines of its chunks, after "Transfer-Encoding : chunked".

Cause: net/http.ReadResponse keeps a field whose name holds a blank under that name, so that it doesn't count as the length or the transfer encoding. It also leaves out a transfer encoding in HTTP/1.0, with the same effect on the body. RFC 9110, 5.1, has no blank in a name; by RFC 9112, 5.1 and 6.1, both are faulty messages.

Change: the statement of a well-formed head covers its fields: each line is a field whose name is a token and whose value holds no control byte, or continues one. A refusal with such a line is none: the request may have run.

--- a/pkg/httpconn/head.go
+++ b/pkg/httpconn/head.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is the error of a response that isn't well-formed.
@@ -95,11 +96,45 @@
 	return nil
 }
 
-// parseHead returns the status of a head, or an error if it isn't well-formed: RFC 9110, section 15, and
-// RFC 9112, section 4. What it leaves to net/http is how the length of the body is stated.
+// parseHead returns the status of a head, or an error if it isn't well-formed: RFC 9110, sections 5 and 15, and
+// RFC 9112, sections 4 to 6. What it leaves to net/http is whether the length of the body is stated correctly.
 func parseHead(text string) (status int, err error) {
-	line, _, _ := strings.Cut(text, "\n")
-	return parseStatusLine(trimLineEnd(line))
+	line, fields, _ := strings.Cut(text, "\n")
+	status, err = parseStatusLine(trimLineEnd(line))
+	if err != nil {
+		return 0, err
+	}
+	hasChunks := false
+	for field := range strings.Lines(fields) {
+		name, err := parseField(trimLineEnd(field))
+		if err != nil {
+			return 0, err
+		}
+		hasChunks = hasChunks || strings.EqualFold(name, "Transfer-Encoding")
+	}
+	if hasChunks && strings.HasPrefix(line, "HTTP/1.0") {
+		return 0, eris.Wrap(ErrMalformed, "transfer encoding in HTTP/1.0")
+	}
+	return status, nil
+}
+
+// parseField returns the name of a field, or "" for a line that continues a field or ends the head.
+func parseField(line string) (string, error) {
+	if line == "" || line[0] == ' ' || line[0] == '\t' {
+		return "", checkValue(line)
+	}
+	name, value, ok := strings.Cut(line, ":")
+	if !ok || !httpguts.ValidHeaderFieldName(name) {
+		return "", eris.Wrapf(ErrMalformed, "name of a field %.40q", name)
+	}
+	return name, checkValue(value)
+}
+
+func checkValue(value string) error {
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return eris.Wrapf(ErrMalformed, "value of a field %.40q", value)
+	}
+	return nil
 }
 
 // parseStatusLine returns the status in a line such as "HTTP/1.1 200 OK". The reason may be missing, and
@@ -110,7 +145,7 @@
 	if !ok || major != 1 {
 		return 0, eris.Wrapf(ErrMalformed, "version %.20q", version)
 	}
-	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	code, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	status, err := strconv.Atoi(code)
 	if err != nil || len(code) != statusDigits || status < lowestStatus || status > highestStatus {
 		return 0, eris.Wrapf(ErrMalformed, "status %.20q", code)
@@ -118,6 +153,9 @@
 	if status == http.StatusSwitchingProtocols {
 		return 0, eris.Wrap(ErrMalformed, "switch of protocols without a request for it")
 	}
+	if !httpguts.ValidHeaderFieldValue(reason) {
+		return 0, eris.Wrapf(ErrMalformed, "reason %.40q", reason)
+	}
 	return status, nil
 }
 
