httpconn: a connection that was reset ends no response

Callers saw: the first part of an answer without a length as a complete one, or a stream that ended as complete in the middle, where the endpoint reset the connection while a long upload was still being written.

Cause: the kernel tells an error of a connection once. The goroutine that writes the upload got ECONNRESET, and the read that followed found the end of the input, as if the endpoint had closed the connection. Only that end marks the end of such an answer.

Change: a connection remembers the error that a write got. A read that finds the end of the input waits for the write in progress, which is ended by its deadline, and returns that error. EPIPE isn't one: the endpoint had closed its side, and the answer is whole.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -132,7 +132,7 @@
 func unknownError(cause error) error { return fmt.Errorf("%w: %w", ErrUnknown, cause) }
 
 func (c *Conn) write(req *http.Request) error {
-	bw := bufio.NewWriterSize(c.Conn, bufferBytes)
+	bw := bufio.NewWriterSize(c.responses, bufferBytes)
 	if err := writeRequest(bw, req); err != nil {
 		return err
 	}
