forward: calls to plain services read their answers through httpconn

Callers of medlarsill-entry saw: answers of plain services with status 000 (which its server can't write), 600 or 101; answers with a blank in the name of a field, shorter or with the lines of chunks in the body; and the first part of an answer without a length as a whole one, where the connection was reset while the call's body was being written. A refusal with status 600 made a call that isn't idempotent run once more elsewhere.

Cause: the same as in upstream, in http.Transport: it reads heads by the same function, and writes the body in a goroutine of its own, which may get the connection's error.

Change: httpconn.Transport opens connections of httpconn for an http.Transport and tells them when the head of a response follows. All of a malformed head but its last line is passed on before the error: net/http would send a request again by itself if the first read on a connection that was used before fails.

--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/medlarsill/medlarsill/pkg/apierror"
+	"github.com/medlarsill/medlarsill/pkg/httpconn"
 	"github.com/medlarsill/medlarsill/pkg/resetconn"
 )
 
@@ -36,15 +37,15 @@
 // The latter never reuses connections: net/http resends a request if a reused
 // connection turns out to be closed, although the endpoint may have received the
 // request.
-func NewTransports() (pooled, single *http.Transport) {
-	pooled = &http.Transport{
+func NewTransports() (pooled, single *httpconn.Transport) {
+	pooled = httpconn.NewTransport(&http.Transport{
 		DialContext: resetconn.DialContext(dialTimeout), MaxIdleConnsPerHost: idleConnsPerEndpoint, IdleConnTimeout: idleTimeout,
 		DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	}
-	single = &http.Transport{
+	})
+	single = httpconn.NewTransport(&http.Transport{
 		DialContext: resetconn.DialContext(dialTimeout), DisableKeepAlives: true,
 		DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	})
 	return pooled, single
 }
 
--- a/pkg/httpconn/head.go
+++ b/pkg/httpconn/head.go
@@ -60,10 +60,10 @@
 			return seen, errHeadTooLarge
 		}
 		h.data = append(h.data, b[seen:seen+length]...)
-		seen += length
 		if err := h.endLine(); err != nil {
-			return seen - 1, err
+			return seen, err
 		}
+		seen += length
 	}
 	return len(b), nil
 }
