Engine, store and cloud clients read their answers through httpconn

What was seen: the engine, store and cloud clients took answers with a blank in the name of a field, or with the lines of chunks in their bodies, for the answers to what they had asked: a write to the store counted as done, an order to an engine or the cloud as carried out, a stream of tokens as begun.

Cause: they read through http.Transport, as forward did.

The statuses and a control byte in a name were errors of unknown outcome there already.

Change: the clients of medlarsill-entry, -gateway, -controller, -admin and medlarctl use httpconn.Transport. An answer that isn't well-formed is an error of unknown outcome, as other broken answers were. medlarctl doesn't use HTTP/2 any more where it trusts the system's authorities; with an authority of its own it never did.

--- a/cmd/medlarsill-admin/main.go
+++ b/cmd/medlarsill-admin/main.go
@@ -15,6 +15,7 @@
 	"github.com/medlarsill/medlarsill/pkg/audit"
 	"github.com/medlarsill/medlarsill/pkg/auth"
 	"github.com/medlarsill/medlarsill/pkg/cloud/httpcloud"
+	"github.com/medlarsill/medlarsill/pkg/httpconn"
 	"github.com/medlarsill/medlarsill/pkg/httpserver"
 	"github.com/medlarsill/medlarsill/pkg/logging"
 	"github.com/medlarsill/medlarsill/pkg/objectstore/httpstore"
@@ -54,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	platform := &http.Client{Transport: resetconn.NewTransport(dialTimeout)}
+	platform := &http.Client{Transport: httpconn.NewTransport(resetconn.NewTransport(dialTimeout))}
 	store := httpstore.NewClient(cfg.ObjectAPI, platform)
 	peers := peer.NewClient(&peer.Directory{}, keys.PeerClient())
 	defer peers.Close()
--- a/cmd/medlarsill-controller/main.go
+++ b/cmd/medlarsill-controller/main.go
@@ -21,6 +21,7 @@
 	"github.com/medlarsill/medlarsill/pkg/controller"
 	"github.com/medlarsill/medlarsill/pkg/engine/httpengine"
 	"github.com/medlarsill/medlarsill/pkg/fleet"
+	"github.com/medlarsill/medlarsill/pkg/httpconn"
 	"github.com/medlarsill/medlarsill/pkg/httpserver"
 	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/logging"
@@ -58,7 +59,7 @@
 // serve creates the components and runs them until a signal or the first failure.
 func serve(cfg settings.Controller, log *slog.Logger) error {
 	reg := prometheus.NewRegistry()
-	client := &http.Client{Transport: resetconn.NewTransport(dialTimeout)}
+	client := &http.Client{Transport: httpconn.NewTransport(resetconn.NewTransport(dialTimeout))}
 	store := storebudget.New(storebudget.Options{
 		Inner: httpstore.NewClient(cfg.ObjectAPI, client), Role: "controller",
 		Budget: storebudget.DefaultBudget, Metrics: storebudget.NewMetrics(reg), Now: time.Now, Rand: newRand(),
--- a/cmd/medlarsill-entry/process.go
+++ b/cmd/medlarsill-entry/process.go
@@ -19,6 +19,7 @@
 	"github.com/medlarsill/medlarsill/pkg/fleet"
 	"github.com/medlarsill/medlarsill/pkg/flight"
 	"github.com/medlarsill/medlarsill/pkg/handover"
+	"github.com/medlarsill/medlarsill/pkg/httpconn"
 	"github.com/medlarsill/medlarsill/pkg/httpserver"
 	"github.com/medlarsill/medlarsill/pkg/membership"
 	"github.com/medlarsill/medlarsill/pkg/objectstore"
@@ -239,5 +240,5 @@
 	t := resetconn.NewTransport(dialTimeout)
 	t.MaxIdleConnsPerHost, t.DisableCompression = idleConnsPerEndpoint, true
 	t.ReadBufferSize, t.WriteBufferSize = connBufferBytes, connBufferBytes
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: httpconn.NewTransport(t)}
 }
--- a/cmd/medlarsill-gateway/process.go
+++ b/cmd/medlarsill-gateway/process.go
@@ -20,6 +20,7 @@
 	"github.com/medlarsill/medlarsill/pkg/fairshare"
 	"github.com/medlarsill/medlarsill/pkg/gateway"
 	"github.com/medlarsill/medlarsill/pkg/gossip"
+	"github.com/medlarsill/medlarsill/pkg/httpconn"
 	"github.com/medlarsill/medlarsill/pkg/ingress"
 	"github.com/medlarsill/medlarsill/pkg/kvcache"
 	"github.com/medlarsill/medlarsill/pkg/kvmove"
@@ -150,7 +151,7 @@
 func newPlatformClient() *http.Client {
 	t := resetconn.NewTransport(dialTimeout)
 	t.MaxIdleConnsPerHost, t.IdleConnTimeout = storeConns, storeIdleTimeout
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: httpconn.NewTransport(t)}
 }
 
 // setUpFollowers creates the components that follow the configuration and the endpoints in the
--- a/pkg/ctl/profile.go
+++ b/pkg/ctl/profile.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 
+	"github.com/medlarsill/medlarsill/pkg/httpconn"
 	"github.com/medlarsill/medlarsill/pkg/strictjson"
 )
 
@@ -96,7 +97,7 @@
 // file ca, or those of the system if ca is empty.
 func newHTTPClient(ca string) (*http.Client, error) {
 	if ca == "" {
-		return &http.Client{}, nil
+		return &http.Client{Transport: httpconn.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}, nil
 	}
 	data, err := os.ReadFile(ca)
 	if err != nil {
@@ -107,5 +108,5 @@
 		return nil, usageError(ca + " contains no PEM certificate")
 	}
 	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
-	return &http.Client{Transport: transport}, nil
+	return &http.Client{Transport: httpconn.NewTransport(transport)}, nil
 }
--- a/pkg/engine/httpengine/client.go
+++ b/pkg/engine/httpengine/client.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/medlarsill/medlarsill/pkg/engine"
+	"github.com/medlarsill/medlarsill/pkg/httpconn"
 )
 
 // Timeout is the time limit of every call except token streams.
@@ -71,7 +72,7 @@
 
 // Probe implements engine.Engine.
 func (c *Client) Probe(ctx context.Context, addr string) error {
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := httpconn.NewTransport(&http.Transport{DisableKeepAlives: true})
 	fresh := &Client{http: &http.Client{Transport: transport}}
 	_, err := fresh.Load(ctx, addr)
 	return err
