httpconn: a trailer that is no field is an error

Callers saw: an answer in chunks as a sound one though a blank stood in the name of a field in its trailer.

Cause: net/http reads trailers as leniently as heads. Trailers aren't passed on, so that the body was the endpoint's; control bytes and lines without a colon ended the answer with an error there already.

Change: the end of a body in chunks is an error if the names and values of its trailers aren't well-formed, by the same statement as in heads. Calls that need no body, such as writes to the store, don't read that far.

--- a/pkg/forward/malformed_test.go
+++ b/pkg/forward/malformed_test.go
@@ -16,7 +16,9 @@
 // Guards against malformed answers of plain services that callers get as answers: the call may have run, and is sent
 // again only if it is idempotent.
 func TestForwarder_PassesOnNoMalformedAnswer(t *testing.T) {
-	for name, answer := range httpconntest.Malformed("the body") {
+	all := httpconntest.Malformed("the body")
+	all["blank in a trailer"] = httpconntest.MalformedTrailer("the body")
+	for name, answer := range all {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			broken, sound := httpconntest.Serve(t, answer), newFakeEndpoint(t, respondWith("held"))
--- a/pkg/httpconn/head.go
+++ b/pkg/httpconn/head.go
@@ -124,12 +124,24 @@
 		return "", checkValue(line)
 	}
 	name, value, ok := strings.Cut(line, ":")
-	if !ok || !httpguts.ValidHeaderFieldName(name) {
-		return "", eris.Wrapf(ErrMalformed, "name of a field %.40q", name)
+	if !ok {
+		return "", eris.Wrapf(ErrMalformed, "line without a colon %.40q", line)
+	}
+	if err := checkName(name); err != nil {
+		return "", err
 	}
 	return name, checkValue(value)
 }
 
+// checkName checks the name of a field: it is a token.
+func checkName(name string) error {
+	if !httpguts.ValidHeaderFieldName(name) {
+		return eris.Wrapf(ErrMalformed, "name of a field %.40q", name)
+	}
+	return nil
+}
+
+// checkValue checks the value of a field, with blanks around it: it holds no control byte.
 func checkValue(value string) error {
 	if !httpguts.ValidHeaderFieldValue(value) {
 		return eris.Wrapf(ErrMalformed, "value of a field %.40q", value)
--- a/pkg/httpconn/httpconntest/server.go
+++ b/pkg/httpconn/httpconntest/server.go
@@ -79,7 +79,7 @@
 // Malformed returns answers with a body whose heads aren't well-formed, by what is wrong.
 func Malformed(body string) map[string]string {
 	framed := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
-	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	chunked := chunks(body) + "\r\n"
 	return map[string]string{
 		"status 000":             "HTTP/1.1 000 Trouble\r\n" + framed,
 		"status 000 first":       "HTTP/1.1 000 Trouble\r\n\r\n" + Sound(body),
@@ -93,3 +93,11 @@
 		"chunks in HTTP/1.0":     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked,
 	}
 }
+
+// MalformedTrailer returns an answer with a body whose trailer isn't well-formed.
+func MalformedTrailer(body string) string {
+	return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(body) + "X Trouble: 1\r\n\r\n"
+}
+
+// chunks returns a body in chunks, without the trailers and the empty line after them.
+func chunks(body string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body) }
--- a/pkg/httpconn/transport.go
+++ b/pkg/httpconn/transport.go
@@ -62,7 +62,12 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: expectResponse}
-	return t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	CheckTrailers(resp)
+	return resp, nil
 }
 
 // expectResponse is called before a request is written to a connection.
--- a/pkg/httpconn/transport_test.go
+++ b/pkg/httpconn/transport_test.go
@@ -34,7 +34,9 @@
 // Guards against malformed responses that are taken for sound ones on a new connection or on one that was used before, and
 // against a request that net/http sends again by itself, since the connection that it uses again failed.
 func TestTransport_ReturnsNoMalformedResponse(t *testing.T) {
-	for name, answer := range httpconntest.Malformed("the body") {
+	all := httpconntest.Malformed("the body")
+	all["blank in a trailer"] = httpconntest.MalformedTrailer("the body")
+	for name, answer := range all {
 		for _, answers := range [][]string{{answer}, {httpconntest.Sound("first"), answer}} {
 			t.Run(name, func(t *testing.T) {
 				g := NewWithT(t)
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -172,7 +172,12 @@
 	if err := c.responses.ExpectResponse(ahead); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.br, req)
+	resp, err := http.ReadResponse(c.br, req)
+	if err != nil {
+		return nil, err
+	}
+	httpconn.CheckTrailers(resp)
+	return resp, nil
 }
 
 // updateReuse sets noReuse and idleTimeout from a response header.
