--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -69,6 +69,7 @@
 	return sound, c.headErr
 }
 
+// failure returns the error of a head that isn't well-formed, if there was one.
 func (c *Conn) failure() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/httpconn/head.go
+++ b/pkg/httpconn/head.go
@@ -77,7 +77,7 @@
 }
 
 // endLine checks the head if its last line is complete and empty. Another head follows that of an
-// informational response.
+// informational response. An empty first line is no end: net/http refuses it.
 func (h *head) endLine() error {
 	if h.data[len(h.data)-1] != '\n' {
 		return nil
