--- a/pkg/forward/malformed_test.go
+++ b/pkg/forward/malformed_test.go
@@ -1,12 +1,9 @@
 package forward
 
 import (
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -48,46 +45,15 @@
 	g.Expect(sound.count()).To(BeZero())
 }
 
-const (
-	// longBodyBytes is more than the kernel keeps of what a server doesn't read.
-	longBodyBytes = 8 << 20
-	// resetTries is the number of times that a connection is reset: it depends on the kernel which call gets its error.
-	resetTries = 40
-)
-
-// serveEarly starts a server that answers before it has read the body, and then ends the connection.
-func serveEarly(t *testing.T, answer string, end func(c *net.TCPConn)) (addr string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			tcp := c.(*net.TCPConn)
-			_ = tcp.SetReadBuffer(4 << 10)
-			_, _ = tcp.Read(make([]byte, 100))
-			_, _ = io.WriteString(tcp, answer)
-			end(tcp)
-			tcp.Close()
-		}
-	}()
-	return l.Addr().String()
-}
+// resetTries is the number of times that a connection is reset: it depends on the kernel which call gets its error.
+const resetTries = 40
 
 // Guards against the first part of an answer that a caller gets as a whole one, since the connection was reset while the
 // call's body was being written.
 func TestForwarder_PassesOnNoAnswerThatIsResetDuringUpload(t *testing.T) {
-	answer := "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 1000)
-	f := newFixture(t, serveEarly(t, answer, func(c *net.TCPConn) {
-		time.Sleep(30 * time.Millisecond) // the body is being written
-		_ = c.SetLinger(0)
-	}))
-	body := strings.Repeat("x", longBodyBytes)
+	answer := func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 1000) }
+	f := newFixture(t, httpconntest.ServeEarly(t, answer, httpconntest.Reset).HostPort())
+	body := strings.Repeat("x", httpconntest.UploadBytes)
 	for range resetTries {
 		g := NewWithT(t)
 		_, err := f.hold("", body)
@@ -97,17 +63,15 @@
 
 // Guards against sound answers that are lost since they come before the end of the call's body.
 func TestForwarder_PassesOnWholeAnswersDuringUpload(t *testing.T) {
-	wait := func(*net.TCPConn) { time.Sleep(50 * time.Millisecond) }
-	closeFirst := func(c *net.TCPConn) { _ = c.CloseWrite(); wait(c) }
-	for answer, end := range map[string]func(c *net.TCPConn){
-		"HTTP/1.1 200 OK\r\n\r\nheld":                                                 closeFirst,
-		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld":                            wait,
-		"HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nheld":                     wait,
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nheld\r\n0\r\n\r\n": wait,
+	for answer, end := range map[string]httpconntest.Ending{
+		"HTTP/1.1 200 OK\r\n\r\nheld":                                                 httpconntest.HalfClose,
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld":                            httpconntest.KeepOpen,
+		"HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nheld":                     httpconntest.KeepOpen,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nheld\r\n0\r\n\r\n": httpconntest.KeepOpen,
 	} {
 		g := NewWithT(t)
-		f := newFixture(t, serveEarly(t, answer, end))
-		a, err := f.hold("", strings.Repeat("x", longBodyBytes))
+		s := httpconntest.ServeEarly(t, func(*http.Request) string { return answer }, end)
+		a, err := newFixture(t, s.HostPort()).hold("", strings.Repeat("x", httpconntest.UploadBytes))
 		g.Expect(err).NotTo(HaveOccurred(), answer)
 		g.Expect(string(a.Body)).To(Equal("held"))
 		g.Expect(a.Status).To(BeElementOf(http.StatusOK, http.StatusRequestEntityTooLarge))
--- a/pkg/httpconn/conn_test.go
+++ b/pkg/httpconn/conn_test.go
@@ -14,10 +14,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-)
 
-// uploadBytes is more than the kernel keeps of what a peer doesn't read.
-const uploadBytes = 8 << 20
+	"github.com/medlarsill/medlarsill/pkg/httpconn/httpconntest"
+)
 
 // resettingConn is a connection that is reset during a write. As with the kernel's, only one call gets the error: here
 // the write, and a read finds the end of the input.
@@ -84,28 +83,15 @@
 	}
 }
 
-// uploadTo sends a long upload to a server that serves one connection, and reads the response.
-func uploadTo(g *WithT, serve func(c *net.TCPConn)) (body []byte, err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		tcp := c.(*net.TCPConn)
-		_ = tcp.SetReadBuffer(4 << 10)
-		_, _ = c.Read(make([]byte, 100))
-		serve(tcp)
-	}()
-	raw, err := net.Dial("tcp", l.Addr().String())
+// uploadTo sends a long upload to a server, and reads the response.
+func uploadTo(g *WithT, addr string) (body []byte, err error) {
+	raw, err := net.Dial("tcp", addr)
 	g.Expect(err).NotTo(HaveOccurred())
 	conn := New(raw)
 	defer conn.Close()
 	g.Expect(conn.ExpectResponse(nil)).To(Succeed())
-	go func() { _, _ = conn.Write(make([]byte, uploadBytes)) }()
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: %d\r\n\r\n", httpconntest.UploadBytes)
+	go func() { _, _ = conn.Write(append([]byte(head), make([]byte, httpconntest.UploadBytes)...)) }()
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return nil, err
@@ -116,26 +102,20 @@
 // Guards against the same with a real socket, and against sound responses before the end of an upload that are lost: the
 // server has closed its side, and reads no more, or resets the connection after that.
 func TestConn_ResponsesDuringUpload(t *testing.T) {
-	reset := func(c *net.TCPConn) {
-		time.Sleep(30 * time.Millisecond) // the upload is being written
-		_ = c.SetLinger(0)
-		c.Close()
-	}
+	answer := func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 1000) }
 	for name, c := range map[string]struct {
-		end   func(c *net.TCPConn)
+		end   httpconntest.Ending
 		whole bool
 	}{
-		"reset":            {end: reset},
-		"closed":           {whole: true, end: func(c *net.TCPConn) { _ = c.CloseWrite(); time.Sleep(100 * time.Millisecond) }},
-		"closed and reset": {whole: true, end: func(c *net.TCPConn) { _ = c.CloseWrite(); reset(c) }},
+		"reset":            {end: httpconntest.Reset},
+		"closed":           {end: httpconntest.HalfClose, whole: true},
+		"closed and reset": {end: httpconntest.HalfCloseAndReset, whole: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			s := httpconntest.ServeEarly(t, answer, c.end)
 			for range 20 {
 				g := NewWithT(t)
-				body, err := uploadTo(g, func(conn *net.TCPConn) {
-					fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1000))
-					c.end(conn)
-				})
+				body, err := uploadTo(g, s.HostPort())
 				if !c.whole {
 					g.Expect(err).To(HaveOccurred())
 					continue
--- a/pkg/httpconn/httpconntest/server.go
+++ b/pkg/httpconn/httpconntest/server.go
@@ -1,4 +1,4 @@
-// Package httpconntest provides a server of tests whose answers may be malformed.
+// Package httpconntest provides servers of tests whose answers may be malformed, or come before the end of an upload.
 package httpconntest
 
 import (
@@ -11,29 +11,41 @@
 	"testing"
 )
 
-// Server answers requests with given bytes.
+// Server is a server that counts its requests.
 type Server struct {
 	net.Listener
-	answers  []string
 	requests atomic.Int64
 }
 
 // Serve starts a server on the loopback interface. The n-th request gets the n-th answer, and all after that the last one;
 // the connection ends with the last one.
 func Serve(t testing.TB, answers ...string) *Server {
+	t.Helper()
+	return listen(t).serveAll(answers)
+}
+
+// ServeOn is Serve on a listener.
+func ServeOn(t testing.TB, l net.Listener, answers ...string) *Server {
+	return newServer(t, l).serveAll(answers)
+}
+
+// listen returns a server that listens on the loopback interface.
+func listen(t testing.TB) *Server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return ServeOn(t, l, answers...)
+	return newServer(t, l)
 }
 
-// ServeOn is Serve on a listener.
-func ServeOn(t testing.TB, l net.Listener, answers ...string) *Server {
+func newServer(t testing.TB, l net.Listener) *Server {
 	t.Cleanup(func() { l.Close() })
-	s := &Server{Listener: l, answers: answers}
-	go s.accept()
+	return &Server{Listener: l}
+}
+
+func (s *Server) serveAll(answers []string) *Server {
+	go s.accept(func(c net.Conn) { s.serve(c, answers) })
 	return s
 }
 
@@ -43,17 +55,17 @@
 // Requests returns the number of requests so far.
 func (s *Server) Requests() int { return int(s.requests.Load()) }
 
-func (s *Server) accept() {
+func (s *Server) accept(serve func(net.Conn)) {
 	for {
 		c, err := s.Accept()
 		if err != nil {
 			return
 		}
-		go s.serve(c)
+		go serve(c)
 	}
 }
 
-func (s *Server) serve(c net.Conn) {
+func (s *Server) serve(c net.Conn, answers []string) {
 	defer c.Close()
 	br := bufio.NewReader(c)
 	for {
@@ -64,8 +76,8 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		n := min(int(s.requests.Add(1)), len(s.answers))
-		if _, err := io.WriteString(c, s.answers[n-1]); err != nil || n == len(s.answers) {
+		n := min(int(s.requests.Add(1)), len(answers))
+		if _, err := io.WriteString(c, answers[n-1]); err != nil || n == len(answers) {
 			return
 		}
 	}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -97,10 +97,9 @@
 }
 
 // Do sends a request and reads the header of its response. The target is RequestURI as it is, unless it
-// is empty. isOwn reports whether
-// a response with that header belongs to the request; other responses are
-// skipped. The caller must read the body to its end and return the connection
-// with Pool.Put. Closing the connection cancels the request.
+// is empty. isOwn reports whether a response with that header belongs to the request; other responses are
+// skipped. The caller must read the body to its end and return the connection with Pool.Put. Closing the
+// connection cancels the request.
 func (c *Conn) Do(req *http.Request, isOwn func(*http.Response) bool) (*http.Response, error) {
 	written := make(chan error, 1)
 	if req.ContentLength > maxInlineBody {
