httpconn: a blank before the first field is part of the statement

Found while the diff was read: the statement took a line that continues no field for one that does (RFC 9112, section 2.2). No caller saw it: net/http refuses such a head, and TestGateway_PassesOnNoAnswerWithMalformedField passes for it on, too. Now the statement says so itself, and the test stays. TestConn_FailsAtEndOfMalformedHead has the case.

--- a/pkg/httpconn/head.go
+++ b/pkg/httpconn/head.go
@@ -104,6 +104,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if continuesField(fields) {
+		return 0, eris.Wrap(ErrMalformed, "blank before the first field")
+	}
 	hasChunks := false
 	for field := range strings.Lines(fields) {
 		name, err := parseField(trimLineEnd(field))
@@ -120,7 +123,7 @@
 
 // parseField returns the name of a field, or "" for a line that continues a field or ends the head.
 func parseField(line string) (string, error) {
-	if line == "" || line[0] == ' ' || line[0] == '\t' {
+	if line == "" || continuesField(line) {
 		return "", checkValue(line)
 	}
 	name, value, ok := strings.Cut(line, ":")
@@ -133,6 +136,11 @@
 	return name, checkValue(value)
 }
 
+// continuesField reports whether a line continues the field before it (RFC 9112, section 5.2).
+func continuesField(line string) bool {
+	return strings.HasPrefix(line, " ") || strings.HasPrefix(line, "\t")
+}
+
 // checkName checks the name of a field: it is a token.
 func checkName(name string) error {
 	if !httpguts.ValidHeaderFieldName(name) {
--- a/pkg/httpconn/head_test.go
+++ b/pkg/httpconn/head_test.go
@@ -71,6 +71,7 @@
 	"HTTP/1.1 200 OK\r\nA: \x01\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nA: b\r\n c\x7f\r\n\r\n",
 	"HTTP/1.1 200 OK\r\n: b\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n A: b\r\nC: d\r\n\r\n",
 	"HTTP/1.1 103 Early Hints\r\nA : b\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 	"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
 }
