--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -38,6 +38,8 @@
 		held, err = playDrill(w, trouble != "0" && trouble != "kill", trouble != "0" && trouble != "drill")
 	case "forward":
 		held, err = playForward(w, trouble != "0")
+	case "versions":
+		held, err = playVersions(w, trouble != "0")
 	case "drain":
 		held, err = playDrain(w, trouble != "0")
 	default:
