--- a/review/stand3/drain.go
+++ b/review/stand3/drain.go
@@ -17,7 +17,7 @@
 	plainSlots    = 6
 	plainWork     = 60 * time.Millisecond
 	plainDeadline = 1500 * time.Millisecond
-	replacements  = 10
+	replacements  = 16
 	// Requests come in waves: each gateway gets waveSize of them at the same moment, over kept connections.
 	waveSize  = 4
 	waveEvery = 2150 * time.Millisecond
@@ -198,6 +198,7 @@
 		kind = "check"
 	}
 	result, keep := "no connection", false
+	w.record.add("sent: %s (%s) to %s", id, kind, c.node.name)
 	if c.connect() {
 		result, keep = exchangePlain(c.conn, c.reader, kind, id)
 		if !keep {
@@ -209,9 +210,7 @@
 	defer counts.mu.Unlock()
 	counts.sent++
 	counts.results[kind+" "+result]++
-	if result != "status 200" {
-		w.record.add("request %s (%s) at %s: %s", id, kind, c.node.name, result)
-	}
+	w.record.add("answered: %s: %s", id, result)
 	if kind == "hold" && (result == "no answer" || result == "status 502" || result == "status 504") {
 		counts.lost = append(counts.lost, id)
 	}
--- a/review/stand3/forward.go
+++ b/review/stand3/forward.go
@@ -20,12 +20,16 @@
 	// one. Each pauses between two requests.
 	cutClients, otherClients = 12, 3
 	forwardPause             = 40 * time.Millisecond
-	// Times since the store goes down: the cut of the machine begins and ends, the server begins to leave, and the
+	// Times since the machine is cut off: the store goes down, the server begins to leave, the cut ends, and the
 	// store is back.
-	cutBegins    = 100 * time.Millisecond
-	serverLeaves = 900 * time.Millisecond
-	cutEnds      = 3200 * time.Millisecond
-	storeReturns = 4400 * time.Millisecond
+	storeGoes    = 1500 * time.Millisecond
+	serverLeaves = 2400 * time.Millisecond
+	cutEnds      = 4900 * time.Millisecond
+	storeReturns = 5900 * time.Millisecond
+	// forwardWork is the time of a request, and notice the time from the notice of the server that is taken away to
+	// its end.
+	forwardWork = 150 * time.Millisecond
+	notice      = 2850 * time.Millisecond
 )
 
 // passing notes what the machine that was cut off has passed on, and what it sends.
@@ -35,7 +39,8 @@
 	// an answer of the server that leaves with its notice.
 	sent    map[string]time.Time
 	passed  time.Time
-	late    int
+	late    map[string]bool
+	lost    int
 	results map[string]int
 	record  *record
 	leaver  *server
@@ -52,7 +57,7 @@
 	after := sent.Sub(p.passed)
 	p.record.add("request %s, sent %d ms after the notice was passed on, reaches server %s from the machine", id, after.Milliseconds(), s.id)
 	if after > drainTime+measureSlack {
-		p.late++
+		p.late[id] = true
 	}
 }
 
@@ -60,11 +65,11 @@
 // whether the rule was kept.
 func playForward(w *world, trouble bool) (bool, error) {
 	w.store.Put("config", "main", plainConfig)
-	p := &passing{sent: make(map[string]time.Time), results: make(map[string]int), record: w.record}
+	p := &passing{sent: make(map[string]time.Time), late: make(map[string]bool), results: make(map[string]int), record: w.record}
 	servers := make([]*server, forwardServers)
 	links := make([]*link, forwardServers)
 	for i := range servers {
-		s := &server{id: fmt.Sprintf("i-%03d", i), service: "desk", zone: zones[i%len(zones)], version: "v1", record: w.record, work: plainWork}
+		s := &server{id: fmt.Sprintf("i-%03d", i), service: "desk", zone: zones[i%len(zones)], version: "v1", record: w.record, work: forwardWork}
 		if err := s.open(); err != nil {
 			return false, err
 		}
@@ -113,13 +118,13 @@
 	began := time.Now()
 	at := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
 	if trouble {
-		w.record.add("the store is down")
-		w.store.SetMode(platformtest.Unavailable)
-		at(cutBegins)
 		w.record.add("machine %s is cut off from all servers", w.nodes[0].name)
 		for _, l := range links {
 			l.cut(true)
 		}
+		at(storeGoes)
+		w.record.add("the store is down")
+		w.store.SetMode(platformtest.Unavailable)
 	}
 	at(serverLeaves)
 	w.record.add("server %s says in its answers that it leaves", leaver.id)
@@ -127,6 +132,11 @@
 	if !trouble {
 		w.store.Put("servers", leaver.id, leaver.draining(plainSlots))
 	}
+	time.AfterFunc(notice, func() {
+		leaver.end()
+		links[1].close()
+		w.record.add("server %s is taken away, %d ms after its notice", leaver.id, notice.Milliseconds())
+	})
 	at(cutEnds)
 	if trouble {
 		for _, l := range links {
@@ -137,17 +147,18 @@
 	at(storeReturns)
 	if trouble {
 		w.store.SetMode(platformtest.Available)
-		w.store.Put("servers", leaver.id, leaver.draining(plainSlots))
-		w.record.add("the store is back, and has accepted that server %s is draining", leaver.id)
+		w.record.add("the store is back")
 	}
+	w.store.Remove("servers", leaver.id)
 	time.Sleep(drainTime + contactTime)
 	close(stop)
 	clients.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w.record.add("answers: %v", p.results)
-	w.record.add("notice passed on: %t; DRAIN broken: %t (%d requests that were sent later than drainMs after that reached the server from the machine)", !p.passed.IsZero(), p.late > 0, p.late)
-	return p.late == 0, nil
+	w.record.add("requests that may not be repeated, reached the server so late and were lost: %d", p.lost)
+	w.record.add("notice passed on: %t; DRAIN broken: %t (%d requests that were sent later than drainMs after that reached the server from the machine)", !p.passed.IsZero(), len(p.late) > 0, len(p.late))
+	return len(p.late) == 0, nil
 }
 
 // forwardClient sends requests to a node over a kept connection.
@@ -168,9 +179,19 @@
 			p.sent[id] = time.Now()
 			p.mu.Unlock()
 		}
+		w.record.add("sent: %s to %s", id, c.node.name)
 		status, stamp, notice, keep := exchangeNoticed(c.conn, c.reader, id)
+		w.record.add("answered: %s: %s %s", id, status, stamp)
 		p.mu.Lock()
-		p.results[fmt.Sprintf("%t %s", n == 0, status)]++
+		where := "at the other machines"
+		if n == 0 {
+			where = "at the machine"
+		}
+		p.results[status+" "+where]++
+		if p.late[id] && (status == "no answer" || status == "status 502" || status == "status 504") {
+			p.lost++
+			w.record.add("request %s was lost: %s", id, status)
+		}
 		if n == 0 && notice && p.passed.IsZero() {
 			p.passed = time.Now()
 			w.record.add("machine %s passes on an answer with %s and Server-Leaving (request %s)", w.nodes[0].name, stamp, id)
--- a/review/stand3/resume.go
+++ b/review/stand3/resume.go
@@ -20,9 +20,9 @@
 	streamSlots    = 96
 	streamEvents   = 24
 	streamGap      = 100 * time.Millisecond
-	streamClients  = 96
+	streamClients  = 160
 	streamDeadline = 12 * time.Second
-	streamCrashes  = 7
+	streamCrashes  = 8
 	crashInterval  = 7 * time.Second
 	// pings is the time of three pings, after which the entry of a server that is silent is removed.
 	pings = 3600 * time.Millisecond
@@ -94,7 +94,7 @@
 		return false, err
 	}
 	if cuts {
-		w.store.cutWatches(500*time.Millisecond, time.Second)
+		w.store.cutWatches(time.Second, 2*time.Second)
 	}
 	time.Sleep(2 * contactTime)
 	counts := &tally{statuses: make(map[string]int)}
@@ -159,6 +159,7 @@
 	}
 	if result == "whole" {
 		t.count(&t.whole)
+		w.record.add("answered: %s: whole", id)
 		return
 	}
 	if last == 0 {
@@ -185,6 +186,7 @@
 // how the attempt ended.
 func (w *world) tryStream(at int, id, resumes string, last int, deadline time.Time, t *tally) (int, string, time.Duration) {
 	n := w.nodes[at%len(w.nodes)]
+	w.record.add("sent: %s to %s", id, n.name)
 	conn, err := net.DialTimeout("tcp", n.front, time.Second)
 	if err != nil {
 		return last, "no connection", 0
--- a/review/stand3/servers.go
+++ b/review/stand3/servers.go
@@ -111,6 +111,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.record.add("run: %s at server %s", id, s.id)
 	if s.arrived != nil {
 		s.arrived(s, id)
 	}
--- a/review/stand3/versions.go
+++ b/review/stand3/versions.go
@@ -129,7 +129,9 @@
 // versionClient asks for one stream of a cycle.
 func (w *world) versionClient(c, cycle int, m *mixing) {
 	id := fmt.Sprintf("v-%d-%d", cycle, c)
+	w.record.add("sent: %s to %s", id, w.nodes[c%len(w.nodes)].name)
 	versions, result := w.versionStream(c, id)
+	w.record.add("answered: %s: %s, versions %s", id, result, versions)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.streams++
