--- a/review/stand3/drain.go
+++ b/review/stand3/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	_ "embed"
 	"fmt"
 	"io"
 	"net"
@@ -32,12 +33,9 @@
 )
 
 // plainConfig is the configuration of the case.
-const plainConfig = `{"version":1,"routes":[
- {"name":"r-hold","host":"a.example","pathPrefix":"/hold/","kind":"non_idempotent","timeoutMs":800,"targetLatencyMs":100,"priority":2,"service":"desk","maxAttempts":1,"noAuth":false},
- {"name":"r-check","host":"a.example","pathPrefix":"/check/","kind":"idempotent","timeoutMs":800,"targetLatencyMs":100,"priority":2,"service":"desk","maxAttempts":2,"noAuth":false}],
- "services":[{"name":"desk","healthPath":"/healthz","maxConns":96,"protocol":"h1","tls":false}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"t1","apiKeys":["key-1"],"priority":1,"ratePerS":0,"burst":0}]}`
+//
+//go:embed plain.json
+var plainConfig string
 
 // departures notes which requests reach servers that have left.
 type departures struct {
@@ -233,7 +231,7 @@
 // be used again.
 func exchangePlain(conn net.Conn, reader *bufio.Reader, kind, id string) (string, bool) {
 	_ = conn.SetDeadline(time.Now().Add(plainDeadline))
-	_, err := fmt.Fprintf(conn, "POST /%s/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token key-1\r\nContent-Length: 2\r\n\r\n{}",
+	_, err := fmt.Fprintf(conn, wire.PlainRequest,
 		kind, id, plainDeadline.Milliseconds())
 	if err != nil {
 		return "not sent", false
--- a/review/stand3/forward.go
+++ b/review/stand3/forward.go
@@ -75,8 +75,8 @@
 		}
 		defer s.end()
 		l, err := newLink(func(rw http.ResponseWriter, r *http.Request) {
-			if r.Header.Get("X-Expect-Instance") == s.id {
-				p.arrivedOverLink(s, r.Header.Get("X-Request-Id"))
+			if r.Header.Get(wire.Expected) == s.id {
+				p.arrivedOverLink(s, r.Header.Get(wire.RequestID))
 			}
 			s.ServeHTTP(rw, r)
 		})
@@ -194,7 +194,7 @@
 		}
 		if n == 0 && notice && p.passed.IsZero() {
 			p.passed = time.Now()
-			w.record.add("machine %s passes on an answer with %s and Server-Leaving (request %s)", w.nodes[0].name, stamp, id)
+			w.record.add("machine %s passes on an answer with %s and the notice that it leaves (request %s)", w.nodes[0].name, stamp, id)
 		}
 		p.mu.Unlock()
 		if !keep {
@@ -208,8 +208,8 @@
 // leaves, and whether the connection may be used again.
 func exchangeNoticed(conn net.Conn, reader *bufio.Reader, id string) (status, stamp string, notice, keep bool) {
 	_ = conn.SetDeadline(time.Now().Add(plainDeadline))
-	_, err := fmt.Fprintf(conn, "POST /hold/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token key-1\r\nContent-Length: 2\r\n\r\n{}",
-		id, plainDeadline.Milliseconds())
+	_, err := fmt.Fprintf(conn, wire.PlainRequest,
+		"hold", id, plainDeadline.Milliseconds())
 	if err != nil {
 		return "not sent", "", false, false
 	}
@@ -221,7 +221,7 @@
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return "answer cut", "", false, false
 	}
-	return fmt.Sprintf("status %d", resp.StatusCode), resp.Header.Get("X-Response-Stamp"), resp.Header.Get("Server-Leaving") == "1", !resp.Close
+	return fmt.Sprintf("status %d", resp.StatusCode), resp.Header.Get(wire.Proof), resp.Header.Get(wire.Leaving) == "1", !resp.Close
 }
 
 // link is another address of a server, over which one machine reaches it.
--- a/review/stand3/resume.go
+++ b/review/stand3/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	_ "embed"
 	"errors"
 	"fmt"
 	"io"
@@ -31,11 +32,9 @@
 )
 
 // streamConfig is the configuration of the case.
-const streamConfig = `{"version":1,"routes":[
- {"name":"r-stream","host":"a.example","pathPrefix":"/stream/","kind":"streaming","timeoutMs":12000,"targetLatencyMs":600,"priority":1,"service":"llm","maxAttempts":2,"noAuth":false,"sessionAffinity":true,"streamResume":true,"gapTargetMs":250}],
- "services":[{"name":"llm","healthPath":"/healthz","maxConns":480,"protocol":"h1","tls":false,"engine":{"slots":96,"kvTokens":1074888,"stride":5}}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"t1","apiKeys":["key-1"],"priority":1,"ratePerS":0,"burst":0}]}`
+//
+//go:embed stream.json
+var streamConfig string
 
 // tally counts the streams of the case.
 type tally struct {
@@ -193,7 +192,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(deadline)
-	head := fmt.Sprintf("POST /stream/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Model: m\r\nX-Token-Count: 600,%d\r\nX-Deadline-Ms: %d\r\nAuthorization: Token key-1\r\nContent-Length: 2\r\n",
+	head := fmt.Sprintf(wire.StreamHead,
 		id, 5*streamEvents, time.Until(deadline).Milliseconds())
 	if resumes != "" {
 		head += fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", last, resumes)
--- a/review/stand3/servers.go
+++ b/review/stand3/servers.go
@@ -102,12 +102,12 @@
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(wire.RequestID)
 	h := w.Header()
-	h.Set("X-Request-Id", id)
+	h.Set(wire.RequestID, id)
 	h.Set("Keep-Alive", "timeout=10")
-	if r.Header.Get("X-Expect-Instance") != s.id {
-		h.Set("X-Instance-Id", s.id)
+	if r.Header.Get(wire.Expected) != s.id {
+		h.Set(wire.Instance, s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -115,9 +115,9 @@
 	if s.arrived != nil {
 		s.arrived(s, id)
 	}
-	h.Set("X-Response-Stamp", "stamp-of-"+s.id)
+	h.Set(wire.Proof, "stamp-of-"+s.id)
 	if s.leaving.Load() {
-		h.Set("Server-Leaving", "1")
+		h.Set(wire.Leaving, "1")
 	}
 	if len(r.URL.Path) > 8 && r.URL.Path[:8] == "/stream/" {
 		s.stream(w, r)
--- a/review/stand3/versions.go
+++ b/review/stand3/versions.go
@@ -152,7 +152,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(streamDeadline))
-	_, err = fmt.Fprintf(conn, "POST /stream/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Model: m\r\nX-Token-Count: 600,%d\r\nX-Deadline-Ms: %d\r\nAuthorization: Token key-1\r\nContent-Length: 2\r\n\r\n{}",
+	_, err = fmt.Fprintf(conn, wire.StreamHead+"\r\n{}",
 		id, 5*versionEvents, streamDeadline.Milliseconds())
 	if err != nil {
 		return "", "not sent"
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -336,11 +335,3 @@
 		panic(http.ErrAbortHandler)
 	}
 }
-
-// registration returns the entry of a server in the store.
-func registration(service, addr, zone, version string, slots int, born time.Time) string {
-	doc, _ := json.Marshal(map[string]any{
-		"service": service, "address": addr, "zone": zone, "version": version, "slots": slots, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": born.UnixMilli(),
-	})
-	return string(doc)
-}
