--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 dir="$(cd "$(dirname "$0")" && pwd)"
 cd "$dir/../.." || exit 2
 [ -x target/medlarsill-gateway ] && [ -x out/stand3 ] || { echo "build first: the line of deploy/system.toml, and review/build-3.sh"; exit 2; }
-exec out/stand3 versions "$dir/record.txt"
+exec out/stand3 killall "$dir/record.txt"
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -13,6 +16,8 @@
 )
 
 func main() {
+	// The gateways end with the thread that has started them.
+	runtime.LockOSThread()
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
 		os.Exit(exitNotRun)
@@ -29,6 +34,13 @@
 	}
 	defer w.close()
 	defer w.keepLogs()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		os.RemoveAll(w.dir)
+		os.Exit(exitNotRun) // the gateways end with this process
+	}()
 	trouble := os.Getenv("TROUBLE")
 	var held bool
 	switch name {
@@ -38,8 +50,8 @@
 		held, err = playDrill(w, trouble != "0" && trouble != "kill", trouble != "0" && trouble != "drill")
 	case "forward":
 		held, err = playForward(w, trouble != "0")
-	case "versions":
-		held, err = playVersions(w, trouble != "0")
+	case "killall":
+		held, err = playKillAll(w, trouble != "0" && trouble != "kill", trouble != "0" && trouble != "drill")
 	case "drain":
 		held, err = playDrain(w, trouble != "0")
 	default:
--- a/review/stand3/resume.go
+++ b/review/stand3/resume.go
@@ -60,6 +60,7 @@
 // playResume plays streams while servers crash one after the other, and the store cuts watches. It returns
 // whether the rule was kept.
 func playResume(w *world, cuts, crashes bool) (bool, error) {
+	w.streamLength = streamEvents
 	w.store.Put("config", "main", streamConfig)
 	servers := make([]*server, streamServers)
 	next := 0
@@ -193,7 +194,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(deadline)
 	head := fmt.Sprintf(wire.StreamHead,
-		id, 5*streamEvents, time.Until(deadline).Milliseconds())
+		id, 5*w.streamLength, time.Until(deadline).Milliseconds())
 	if resumes != "" {
 		head += fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", last, resumes)
 	}
@@ -212,7 +213,7 @@
 	lines := bufio.NewReader(resp.Body)
 	for {
 		event, err := readEvent(lines)
-		if errors.Is(err, io.EOF) && event == "" && last == streamEvents {
+		if errors.Is(err, io.EOF) && event == "" && last == w.streamLength {
 			return last, "whole", 0
 		}
 		if err != nil {
--- a/review/stand3/servers.go
+++ b/review/stand3/servers.go
@@ -25,9 +25,6 @@
 	// work is the time of a plain request, and gap that between two events of a stream of events.
 	work, gap time.Duration
 	events    int
-	// at is the address to listen at; "" stands for a free one. tellsVersion is true if events name the version.
-	at           string
-	tellsVersion bool
 	// arrived is called with each request that the server takes; it may be nil.
 	arrived func(s *server, id string)
 
@@ -45,11 +42,7 @@
 
 // open starts the server.
 func (s *server) open() error {
-	at := s.at
-	if at == "" {
-		at = "127.0.0.1:0"
-	}
-	l, err := net.Listen("tcp", at)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
@@ -137,11 +130,7 @@
 		if !wait(r.Context(), s.gap) {
 			return
 		}
-		text := ""
-		if s.tellsVersion {
-			text = " " + s.version
-		}
-		fmt.Fprintf(w, "id: %d\ndata: event %d%s\n\n", n, n, text)
+		fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -41,6 +41,8 @@
 	network string
 	// peerPort is the port on which the gateways talk to each other.
 	peerPort int
+	// streamLength is the number of events of a whole stream.
+	streamLength int
 	// storeOf holds other addresses of the store, by the number of the node that uses them.
 	storeOf map[int]string
 }
@@ -174,6 +176,7 @@
 	n.cmd = exec.Command("target/medlarsill-gateway", "--settings", w.settingsFile(n), fmt.Sprintf("--set=max_fds=%d", maxFDs),
 		"--set=rollout_share=", "--set=rollout_slack=", "--set=rollout_rollback_ms=")
 	n.cmd.Stdout, n.cmd.Stderr = log, log
+	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.cmd.Start(); err != nil {
 		return err
 	}
