--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,6 @@
 dir="$(cd "$(dirname "$0")" && pwd)"
 cd "$dir/../.." || exit 2
 [ -x target/medlarsill-gateway ] && [ -x out/stand3 ] || { echo "build first: the line of deploy/system.toml, and review/build-3.sh"; exit 2; }
+# TROUBLE=0 does the same without the disruption; claim.txt tells of other values, if there are any.
+export TROUBLE="${TROUBLE:-1}"
 exec out/stand3 killall "$dir/record.txt"
