Keep watches without a response apart from outages of the store

Cause: watch.Loop took each failed call for an outage. After one, missing registrations are kept for 2.1 s and registrations identify no process. net/http hid every second cut by sending the watch again.

Evidence: the gateways that sent late had logged "removal delayed" with up to 2,099 ms; all 51 refusals said that the process isn't known.

Change: errors tell a connection that ended (ErrInterrupted) and one that is silent (ErrNoResponse) from refusals. rewatch.Store repeats such a watch at once, from its position and without waiting; if the store answers, there was no outage. Silence counts so only if another call was answered in the last 2 s, sooner than registrations can expire. Watches that wait are sent once. The calls' metric has both outcomes. Refusals, failed connects and rollbacks are outages as before.

Tests, failing without it: RemoveEndpointsInTimeWhileWatchesAreCut 2,014 to 2,324 ms in four of four cases (2,000 allowed), ContinueStreamsWhileWatchesAreCut 51 of 60 and 99 or 100 of 107 or 108 lost in eight of eight, RemovesEndpointsAfterConnectionsWentSilent 4,590 and 4,673 ms.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -17,6 +17,7 @@
 	"github.com/medlarsill/medlarsill/pkg/endpointspeed"
 	"github.com/medlarsill/medlarsill/pkg/gossip"
 	"github.com/medlarsill/medlarsill/pkg/objectstore/counted"
+	"github.com/medlarsill/medlarsill/pkg/objectstore/rewatch"
 	"github.com/medlarsill/medlarsill/pkg/origin"
 	"github.com/medlarsill/medlarsill/pkg/overload"
 	"github.com/medlarsill/medlarsill/pkg/poison"
@@ -57,7 +58,7 @@
 	p.storeReach = storereach.New(counted.New(storeClient, p.metrics), p.log, time.Now)
 	p.storeClient = storeClient
 	return sharedwatch.New(sharedwatch.Options{
-		Store: p.storeReach, Metrics: p.metrics, Log: p.log, Now: time.Now,
+		Store: rewatch.New(p.storeReach, time.Now), Metrics: p.metrics, Log: p.log, Now: time.Now,
 		Rank:           func() int { return p.node.ReachableRank() },
 		ReachablePeers: func() int { return p.node.ReachablePeers() },
 		Members:        func() int { return p.node.Members() },
--- a/pkg/objectstore/counted/counted.go
+++ b/pkg/objectstore/counted/counted.go
@@ -33,12 +33,13 @@
 	return s
 }
 
-// outcomes maps the errors of a store to values of the outcome label; other errors are
-// counted as "error".
+// outcomes maps the errors of a store to values of the outcome label, the first that matches; other
+// errors are counted as "error".
 var outcomes = []struct {
 	err  error
 	name string
 }{
+	{objectstore.ErrInterrupted, "interrupted"}, {objectstore.ErrNoResponse, "no response"},
 	{objectstore.ErrNotFound, "not found"}, {objectstore.ErrConflict, "conflict"}, {objectstore.ErrTooLarge, "too large"},
 	{objectstore.ErrUnavailable, "unavailable"}, {objectstore.ErrUnknown, "unknown"},
 }
--- a/pkg/objectstore/httpstore/client.go
+++ b/pkg/objectstore/httpstore/client.go
@@ -29,6 +29,9 @@
 // answerLimits bounds a response. The largest are single objects of 1.4 MB, and lists of leases and members.
 var answerLimits = boundedjson.Limits{Bytes: 8 << 20, Parts: 200_000}
 
+// queryNoWait is the parameter of watches that return at once.
+const queryNoWait = "nowait"
+
 // maxRestBytes bounds what is read after the value so that the connection can be used again.
 const maxRestBytes = 64 << 10
 
@@ -87,6 +90,10 @@
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (objectstore.Changes, error) {
 	var out objectstore.Changes
 	path := "/watch?prefix=" + url.QueryEscape(prefix) + "&after=" + strconv.FormatUint(after, 10)
+	if !objectstore.MayWait(ctx) {
+		err := c.call(ctx, http.MethodGet, path+"&"+queryNoWait+"=1", nil, "", &out)
+		return out, objectstore.ReadError(err)
+	}
 	err := c.do(ctx, WatchTimeout+DefaultTimeout, http.MethodGet, path, nil, "", &out)
 	return out, objectstore.ReadError(err)
 }
@@ -118,7 +125,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return objectstore.TransportError(err)
+		return objectstore.TransportError(ctx, err)
 	}
 	defer resp.Body.Close()
 	guard.Next(DefaultTimeout)
--- a/pkg/objectstore/httpstore/server.go
+++ b/pkg/objectstore/httpstore/server.go
@@ -75,6 +75,9 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), WatchTimeout)
 	defer cancel()
+	if c.QueryParam(queryNoWait) != "" {
+		ctx = objectstore.WithoutWaiting(ctx)
+	}
 	out, err := h.store.Watch(ctx, c.QueryParam("prefix"), after)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = nil
--- a/pkg/objectstore/memstore/memstore.go
+++ b/pkg/objectstore/memstore/memstore.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -24,8 +25,13 @@
 	FaultLostAnswer
 	// FaultLostRequest fails a write with ErrUnknown without applying it.
 	FaultLostRequest
+	// FaultInterrupted fails a read with ErrInterrupted and ErrUnavailable.
+	FaultInterrupted
 )
 
+// errInterrupted is the error of a read whose connection has ended.
+var errInterrupted = errors.Join(objectstore.ErrInterrupted, objectstore.ErrUnavailable)
+
 // Op names a method of the store for fault hooks and counters.
 type Op string
 
@@ -179,7 +185,11 @@
 
 // Watch implements objectstore.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (objectstore.Changes, error) {
-	if s.startCall(OpWatch, prefix) != FaultNone {
+	switch s.startCall(OpWatch, prefix) {
+	case FaultNone:
+	case FaultInterrupted:
+		return objectstore.Changes{}, errInterrupted
+	default:
 		return objectstore.Changes{}, objectstore.ErrUnavailable
 	}
 	for {
@@ -192,7 +202,7 @@
 			// All objects of a later history are newer than the position, so out holds all.
 			return objectstore.Changes{Objects: out, Version: version, Reset: true}, nil
 		}
-		if len(out) > 0 {
+		if len(out) > 0 || !objectstore.MayWait(ctx) {
 			return objectstore.Changes{Objects: out, Version: version}, nil
 		}
 		select {
--- a/pkg/objectstore/objectstore.go
+++ b/pkg/objectstore/objectstore.go
@@ -25,6 +25,13 @@
 	ErrUnavailable = eris.New("object store: unavailable")
 	// ErrUnknown means that a write may or may not have taken effect.
 	ErrUnknown = eris.New("object store: outcome unknown")
+	// ErrInterrupted comes with ErrUnavailable or ErrUnknown if the call's connection ended before
+	// the whole response. Alone it doesn't tell that the store is unavailable: the store may close
+	// connections, also those on which a watch waits.
+	ErrInterrupted = eris.New("object store: connection ended before the response")
+	// ErrNoResponse comes with ErrUnavailable or ErrUnknown if the call's response wasn't received in
+	// time. Either the store or the connection is silent.
+	ErrNoResponse = eris.New("object store: no response in time")
 )
 
 // historyShift is the bit position of the history number in a version.
@@ -85,6 +92,7 @@
 	// List returns the objects whose key starts with prefix, in key order.
 	List(ctx context.Context, prefix string) ([]Object, error)
 	// Watch waits until a key with the prefix has changed after the given
-	// position, or the context ends. The waiting call counts as one call.
+	// position, or the context ends. The waiting call counts as one call. With a context of
+	// WithoutWaiting it returns at once.
 	Watch(ctx context.Context, prefix string, after uint64) (Changes, error)
 }
