Skip usage windows that may have been reported under a lost state

Cause: windows were skipped only if there was a stored state of an earlier history. A missing state, and one that can't be read, was taken for one that never was.

Change: windows are skipped unless the state is the one stored last, or it is known that none ever was: a process of the first start, and no rollback since the store's first response to it. The first state is stored again if its history turns out not to be 0, so that it isn't taken for one from before a rollback.

--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -52,7 +52,10 @@
 		},
 	})
 	cloudClient := platform.NewCloud(p.cfg.CloudAPI, p.cfg.ID, client)
-	p.reporter = &usage.Reporter{Ledger: p.usage, Store: p.store, Lease: p.dutyLease, Platform: cloudClient, Log: p.log}
+	p.reporter = &usage.Reporter{
+		Ledger: p.usage, Store: p.store, Lease: p.dutyLease, Platform: cloudClient, Log: p.log,
+		FirstStart: p.cfg.FirstStart, StoreRolledBack: p.storeClient.RolledBack,
+	}
 	p.planner = scaling.NewPlanner(scaling.Options{
 		Config: p.config, Endpoints: p.table, Load: p.meter, Lease: p.dutyLease, Store: p.store, Platform: cloudClient, Log: p.log, Now: time.Now,
 		Speeds: p.scheduler.Speeds, Metrics: p.metrics, FirstStart: p.cfg.FirstStart,
--- a/pkg/usage/report.go
+++ b/pkg/usage/report.go
@@ -72,6 +72,10 @@
 	Lease    Lease
 	Platform Platform
 	Log      *slog.Logger
+	// FirstStart is true if this process was started in the first start of the whole system, before
+	// which no state was stored. StoreRolledBack reports whether the store has been rolled back since.
+	FirstStart      bool
+	StoreRolledBack func() bool
 
 	// fence is the fencing token under which the state was loaded; 0 if it wasn't.
 	fence  uint64
@@ -119,13 +123,14 @@
 func (r *Reporter) load(ctx context.Context) error {
 	r.state = state{}
 	r.object = lease.State{Store: r.Store, Key: stateKey}
-	_, err := r.object.Load(ctx, &r.state)
+	found, err := r.object.Load(ctx, &r.state)
 	if errors.Is(err, lease.ErrStateUnreadable) {
 		r.Log.Error("failed to decode usage state; starting empty", "error", err.Error())
 		r.state = state{}
 	} else if err != nil {
 		return err
 	}
+	newest := found && r.state.isNewest(r.object.Version())
 	for index, sources := range r.state.Counts {
 		for source, c := range sources {
 			if r.Ledger.Merge(source, map[int64]map[string]int{index: c}) > 0 {
@@ -134,16 +139,15 @@
 		}
 	}
 	r.firstWindow = r.Ledger.Index(r.Ledger.Now())
-	r.recover()
-	r.Log.Info("usage state loaded", "saved_ms", r.state.SavedMS, "final", len(r.state.Final))
+	r.recover(newest || !found && err == nil && r.neverStored())
+	r.Log.Info("usage state loaded", "found", found, "newest", newest, "saved_ms", r.state.SavedMS, "final", len(r.state.Final))
 	return nil
 }
 
-// recover corrects the loaded state if the store may have been rolled back. It restores
-// the results that this process has stored and reported. Windows that may have been
-// reported under a lost state are skipped, since a second report with other counts is
-// worse than none.
-func (r *Reporter) recover() {
+// recover corrects the loaded state. It restores the results that this process has stored and
+// reported. If the state isn't known to be the one that was stored last, windows that may have been
+// reported under a lost state are skipped, since a second report with other counts is worse than none.
+func (r *Reporter) recover(complete bool) {
 	if r.state.Final == nil {
 		r.state.Final = make(map[int64]Counts)
 	}
@@ -158,21 +162,23 @@
 		if r.reported[index] {
 			r.state.Reported[index] = true
 		}
-		if r.rolledBack() && r.mayHaveBeenReported(index) {
-			r.Log.Warn("skipping usage window that may have been reported before the store was rolled back", "window", index)
+		if !complete && r.mayHaveBeenReported(index) {
+			r.Log.Warn("skipping usage window that may have been reported under a state that was lost", "window", index)
 			r.state.Final[index] = Counts{}
 			r.state.Reported[index] = true
 		}
 	}
 }
 
-// rolledBack reports whether the store has been rolled back since its current state
-// was written.
-func (r *Reporter) rolledBack() bool {
-	version := r.object.Version()
-	return version != 0 && objectstore.History(version) != r.state.History
+// isNewest reports whether the state was the one that was stored last: the store hasn't been rolled
+// back since.
+func (s *state) isNewest(version uint64) bool {
+	return s.SavedMS != 0 && objectstore.History(version) == s.History
 }
 
+// neverStored reports whether a missing state is known never to have been stored, rather than lost.
+func (r *Reporter) neverStored() bool { return r.FirstStart && !r.StoreRolledBack() }
+
 // mayHaveBeenReported reports whether a holder whose writes were lost may have stored
 // and reported a window's final counts. That holder's clock may have been ahead.
 func (r *Reporter) mayHaveBeenReported(index int64) bool {
@@ -199,7 +205,7 @@
 			next.Reported[index] = true
 		}
 	}
-	if err := r.object.Save(ctx, next); err != nil {
+	if err := r.store(ctx, &next); err != nil {
 		return err
 	}
 	r.state = next
@@ -207,6 +213,18 @@
 	return nil
 }
 
+// store stores a state. The history of the first one is known only once it is stored.
+func (r *Reporter) store(ctx context.Context, s *state) error {
+	if err := r.object.Save(ctx, s); err != nil {
+		return err
+	}
+	if s.isNewest(r.object.Version()) {
+		return nil
+	}
+	s.History = objectstore.History(r.object.Version())
+	return r.object.Save(ctx, s)
+}
+
 // keepCopies keeps the stored results in memory, since the store may be rolled back.
 func (r *Reporter) keepCopies() {
 	r.finalCounts = r.state.Final
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -15,7 +15,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/medlarsill/medlarsill/pkg/bubble"
-	"github.com/medlarsill/medlarsill/pkg/lease"
 	"github.com/medlarsill/medlarsill/pkg/objectstore/memstore"
 	_ "github.com/medlarsill/medlarsill/pkg/testseed"
 )
@@ -118,8 +117,9 @@
 	return nil
 }
 
+// newReporter returns a reporter of the first start of the whole system.
 func newReporter(l *Ledger, s *memstore.Store, fake *fakeLease, p *fakePlatform) *Reporter {
-	return &Reporter{Ledger: l, Store: s, Lease: fake, Platform: p, Log: discard}
+	return &Reporter{Ledger: l, Store: s, Lease: fake, Platform: p, Log: discard, FirstStart: true, StoreRolledBack: func() bool { return false }}
 }
 
 func TestReporter_ReportsEachWindow(t *testing.T) {
@@ -146,8 +146,9 @@
 	})
 }
 
-// Property: no window is ever reported with two different counts, although holders
-// change, writes and responses are lost, counts arrive late and the store is rolled back.
+// Property: no window is ever reported with two different counts, although holders change, writes and
+// responses are lost, counts arrive late, processes are killed and the store is rolled back, also to a
+// copy from before the first state was stored (review/14).
 func TestReporter_RepeatsIdenticalReports(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		bubble.Run(t, func() {
@@ -157,21 +158,26 @@
 			platform := &fakePlatform{}
 			var leases []*fakeLease
 			var reporters []*Reporter
-			for i := range 3 {
-				fake := &fakeLease{}
-				l := NewLedger(fmt.Sprintf("%d/1", i), window, time.Now)
-				leases = append(leases, fake)
-				reporters = append(reporters, newReporter(l, store, fake, platform))
+			starts, rollbacks := 0, 0
+			start := func(first bool) {
+				starts++
+				before := rollbacks
+				leases, reporters = nil, nil
+				for i := range 3 {
+					fake := &fakeLease{}
+					r := newReporter(NewLedger(fmt.Sprintf("%d/%d", i, starts), window, time.Now), store, fake, platform)
+					r.FirstStart, r.StoreRolledBack = first, func() bool { return rollbacks != before }
+					leases, reporters = append(leases, fake), append(reporters, r)
+				}
 			}
+			start(true)
 			fence := uint64(0)
-			// The store is copied only once a state has been stored.
 			var copies []memstore.Snapshot
-			reader := &Reporter{object: lease.State{Store: store, Key: stateKey}}
 			for range 60 {
-				if _, err := reader.object.Load(context.Background(), &state{}); err == nil && reader.object.Version() != 0 {
-					copies = append(copies, store.Snapshot())
-				}
-				switch rapid.IntRange(0, 6).Draw(rt, "event") {
+				copies = append(copies, store.Snapshot())
+				switch rapid.IntRange(0, 7).Draw(rt, "event") {
+				case 7:
+					start(false)
 				case 0:
 					for _, l := range leases {
 						l.held = false
@@ -184,9 +190,8 @@
 					fault = rapid.SampledFrom([]memstore.Fault{memstore.FaultNone, memstore.FaultUnavailable, memstore.FaultLostAnswer, memstore.FaultLostRequest}).Draw(rt, "fault")
 				case 4:
 					// Roll the store back by a few seconds.
-					if len(copies) > 0 {
-						store.RollBack(copies[max(0, len(copies)-1-rapid.IntRange(0, 20).Draw(rt, "copies back"))])
-					}
+					store.RollBack(copies[max(0, len(copies)-1-rapid.IntRange(0, 20).Draw(rt, "copies back"))])
+					rollbacks++
 				case 3:
 					from, to := rapid.IntRange(0, 2).Draw(rt, "from"), rapid.IntRange(0, 2).Draw(rt, "to")
 					reporters[to].Ledger.Merge(reporters[from].Ledger.Source, reporters[from].Ledger.Own(KeptWindows))
@@ -232,3 +237,74 @@
 		g.Expect(platform.reports[index]).To(Equal([]Counts{{"w1": 8}}))
 	})
 }
+
+// Guards against a window that is reported a second time with other counts, as the state under which it
+// was reported is gone: by a rollback to a copy from before it was stored, or as it can't be read.
+func TestReporter_SkipsWindowsReportedUnderLostState(t *testing.T) {
+	for name, lose := range map[string]func(store *memstore.Store, before memstore.Snapshot){
+		"rolled back to before the first state": func(store *memstore.Store, before memstore.Snapshot) { store.RollBack(before) },
+		"rolled back twice": func(store *memstore.Store, before memstore.Snapshot) {
+			store.RollBack(before)
+			store.RollBack(before)
+		},
+		"unreadable":        func(store *memstore.Store, _ memstore.Snapshot) { overwrite(store, "x") },
+		"of another writer": func(store *memstore.Store, _ memstore.Snapshot) { overwrite(store, "{}") },
+	} {
+		for next, firstStart := range map[string]bool{"process of the first start": true, "restarted process": false} {
+			t.Run(name+", "+next, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					store, platform := memstore.New(), &fakePlatform{}
+					before := store.Snapshot()
+					old := newReporter(NewLedger("a/1", window, time.Now), store, &fakeLease{fence: 1, held: true}, platform)
+					index := old.Ledger.Index(time.Now())
+					old.Ledger.Began("w1")
+					time.Sleep(window + finalizeDelay + time.Millisecond)
+					g.Expect(old.step(t.Context())).To(Succeed())
+					g.Expect(platform.reports[index]).To(Equal([]Counts{{"w1": 1}}))
+					lose(store, before)
+					r := newReporter(NewLedger("b/1", window, time.Now), store, &fakeLease{fence: 2, held: true}, platform)
+					r.FirstStart, r.StoreRolledBack = firstStart, func() bool { return true }
+					g.Expect(r.step(t.Context())).To(Succeed())
+					g.Expect(platform.reports[index]).To(HaveLen(1))
+				})
+			})
+		}
+	}
+}
+
+// overwrite replaces the stored state by another value.
+func overwrite(store *memstore.Store, value string) {
+	o, err := store.Get(context.Background(), stateKey)
+	if err != nil {
+		panic(err) // the state was stored before
+	}
+	if _, err := store.Update(context.Background(), stateKey, []byte(value), o.Version); err != nil {
+		panic(err) // nobody else writes
+	}
+}
+
+// Guards against windows that are skipped without need: nothing was ever stored, or the first state was
+// stored after a rollback.
+func TestReporter_ReportsWindowsOfFirstHolders(t *testing.T) {
+	for name, rolledBack := range map[string]bool{"first start": false, "store was rolled back before": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				store, platform := memstore.New(), &fakePlatform{}
+				if rolledBack {
+					store.RollBack(store.Snapshot())
+				}
+				ledger := NewLedger("a/1", window, time.Now)
+				index := ledger.Index(time.Now())
+				ledger.Began("w1")
+				if rolledBack {
+					g.Expect(newReporter(ledger, store, &fakeLease{fence: 1, held: true}, platform).step(t.Context())).To(Succeed())
+				}
+				time.Sleep(window + finalizeDelay + time.Millisecond)
+				g.Expect(newReporter(ledger, store, &fakeLease{fence: 2, held: true}, platform).step(t.Context())).To(Succeed())
+				g.Expect(platform.reports[index]).To(Equal([]Counts{{"w1": 1}}))
+			})
+		})
+	}
+}
