Credit no idle time from a usage state of before a rollback

Cause: after a start of all instances the allowances are credited with the time since the usage state was last stored. If the store came back from an older copy, that time is some seconds too old, and what was spent since would be credited again.

Change: LastSaved is unknown if the state is from before a rollback, so that nothing is credited.

Test: TestLastSaved_UnknownAfterRollback, fails without it.

--- a/pkg/usage/report.go
+++ b/pkg/usage/report.go
@@ -55,11 +55,12 @@
 }
 
 // LastSaved returns when a holder of the duty last stored its state; instances were
-// running at least until then. It is zero if no state was ever stored.
+// running at least until then. It is zero if that isn't known: no state is stored, or later ones were
+// lost as the store was rolled back.
 func LastSaved(ctx context.Context, store objectstore.Store) (time.Time, error) {
 	var s state
 	stored := lease.State{Store: store, Key: stateKey}
-	if _, err := stored.Load(ctx, &s); err != nil || s.SavedMS == 0 {
+	if _, err := stored.Load(ctx, &s); err != nil || !s.isNewest(stored.Version()) {
 		return time.Time{}, err
 	}
 	return time.UnixMilli(s.SavedMS), nil
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -308,3 +308,23 @@
 		})
 	}
 }
+
+// Guards against allowances that are credited with time in which instances ran: a state from before a
+// rollback doesn't tell until when.
+func TestLastSaved_UnknownAfterRollback(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := memstore.New()
+		r := newReporter(NewLedger("a/1", window, time.Now), store, &fakeLease{fence: 1, held: true}, &fakePlatform{})
+		g.Expect(r.step(t.Context())).To(Succeed())
+		saved := time.Now()
+		copied := store.Snapshot()
+		time.Sleep(3 * time.Second)
+		g.Expect(LastSaved(t.Context(), store)).To(BeTemporally("==", saved))
+		store.RollBack(copied)
+		g.Expect(LastSaved(t.Context(), store)).To(BeZero())
+		g.Expect(r.step(t.Context())).NotTo(Succeed(), "its version is of an earlier history")
+		g.Expect(r.step(t.Context())).To(Succeed())
+		g.Expect(LastSaved(t.Context(), store)).To(BeTemporally("==", time.Now()))
+	})
+}
