Complete the record of builds after a rollback of the store

Cause: the archive took the record in memory for stored. Nothing told it that the store had lost its writes, so that the stored record stayed one of an earlier history, which is never trusted ("builds recorded" is logged once only, after the first start). Written again it would have been complete from then on only, that is after two minutes.

Change: an instance that sees an answer of a later history takes the record for outdated. It is written again; each instance tells with it what it knows from before that the record lacks; once all that haven't ended have confirmed the record, it is written as complete from as early as it was before. Objects with streams are written again too.

--- a/cmd/medlarsill-gateway/peers.go
+++ b/cmd/medlarsill-gateway/peers.go
@@ -122,15 +122,22 @@
 // newArchive returns the archive of where streams began.
 func (p *process) newArchive(boot uint64) *origin.Archive {
 	return origin.NewArchive(origin.ArchiveOptions{
-		Source: p.cfg.ID + "-" + strconv.FormatUint(boot, 36), Self: p.cfg.ID, Store: p.store,
+		Source: p.cfg.ID + "-" + strconv.FormatUint(boot, 36), Self: p.cfg.ID, Store: p.store, StoreHistory: p.storeClient.History,
 		Endpoints: p.table.All, Confirm: p.table.Confirm,
 		StreamServices: func() []string { return p.config.Current().StreamServices() },
 		IsWriter:       func() bool { return !p.discovering() && p.node.WriterRank() == 0 },
-		Writers:        p.node.FirstWriters, Members: p.node.Members, Send: p.node.SendStreamBatch,
+		Writers:        p.node.FirstWriters, Members: p.node.Members, Peers: p.livePeers, Send: p.node.SendStreamBatch,
 		FirstStart: p.cfg.FirstStart, Metrics: p.metrics, Log: p.log, Now: time.Now, TrueTime: p.clock.Now,
 	})
 }
 
+// livePeers returns the ids of the other instances that aren't known to have ended, and whether these
+// are all.
+func (p *process) livePeers() (ids []string, all bool) {
+	ids = p.node.LivePeerIDs()
+	return ids, len(ids) >= p.node.LiveMembers()-1
+}
+
 // membership returns the instances that share the endpoints' rate limits.
 func (p *process) membership() ratelimit.Membership {
 	return ratelimit.Membership{Self: p.cfg.ID, IDs: p.node.MemberIDs(), Settled: p.registry.Settled()}
@@ -266,7 +273,8 @@
 	}
 	m.Quarantine = p.poison.NextEntries()
 	m.Fence = p.dutyLease.HighestFence()
-	m.Builds = p.archive.Announcement(m.Seq)
+	builds := p.archive.Announcement(m.Seq)
+	m.Builds, m.UnrecordedBuilds = builds.Record, builds.Unrecorded
 	p.rollouts.fill(m)
 	// Directives hold for 2 s, and endpoints' limits may not be exceeded meanwhile.
 	m.Urgent = len(m.RolloutReports) > 0 || p.rateLimits.HasNews()
@@ -309,7 +317,7 @@
 	p.overload.Receive(m.Overload)
 	p.poison.Merge(m.Quarantine)
 	p.dutyLease.ObserveFence(m.Fence)
-	p.archive.Merge(m.Builds)
+	p.archive.Merge(m.ID, origin.Announcement{Record: m.Builds, Unrecorded: m.UnrecordedBuilds})
 	p.rollouts.receive(m)
 	p.scheduler.Speeds.Merge(from, m.Speeds)
 	if p.endpointSpeeds != nil {
--- a/pkg/gossip/ended.go
+++ b/pkg/gossip/ended.go
@@ -113,10 +113,13 @@
 
 // LiveMemberIDs returns the ids of the instances, including this one, without those that are known
 // to have ended.
-func (n *Node) LiveMemberIDs() []string {
+func (n *Node) LiveMemberIDs() []string { return append([]string{n.ID}, n.LivePeerIDs()...) }
+
+// LivePeerIDs returns the ids of the other instances, without those that are known to have ended.
+func (n *Node) LivePeerIDs() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	ids := []string{n.ID}
+	var ids []string
 	for id, p := range n.peers {
 		if !p.ended {
 			ids = append(ids, id)
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -109,6 +109,8 @@
 	StreamBatch []byte `cbor:"19,keyasint,omitempty"`
 	// Builds holds the record of the services' builds; not every message has it.
 	Builds *origin.Builds `cbor:"20,keyasint,omitempty"`
+	// UnrecordedBuilds holds builds that the sender knows and that the record in Builds lacks.
+	UnrecordedBuilds []origin.ServiceBuilds `cbor:"38,keyasint,omitempty"`
 	// Quarantine holds what requests have in common that crash endpoints.
 	Quarantine []poison.Entry `cbor:"17,keyasint,omitempty"`
 	// RateLimits holds some of the endpoints' rate limits that the sender knows of.
--- a/pkg/objectstore/memstore/memstore.go
+++ b/pkg/objectstore/memstore/memstore.go
@@ -103,6 +103,13 @@
 	return hook(op, key)
 }
 
+// History returns the number of the store's history: the number of its rollbacks.
+func (s *Store) History() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history
+}
+
 // Get implements objectstore.Store.
 func (s *Store) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if s.startCall(OpGet, key) != FaultNone {
--- a/pkg/origin/archive.go
+++ b/pkg/origin/archive.go
@@ -44,6 +44,8 @@
 	// Source names this process, in letters, digits, hyphens and dots.
 	Source string
 	Store  objectstore.Store
+	// StoreHistory returns the number of the store's newest known history. A rollback begins a new one.
+	StoreHistory func() uint64
 	// Endpoints returns the registered endpoints, and StreamServices the services that routes
 	// for streams lead to.
 	Endpoints      func() []*endpoints.Endpoint
@@ -57,6 +59,9 @@
 	// other, and Members the number of instances.
 	Writers func(n int) []string
 	Members func() int
+	// Peers returns the ids of the other instances that aren't known to have ended. all is false if
+	// there are others whose ids aren't known.
+	Peers func() (ids []string, all bool)
 	// Self is this instance's id. Send sends a batch of streams to a peer. It doesn't block, and
 	// the batch may be lost.
 	Self string
@@ -100,6 +105,7 @@
 	// goneSince holds when recorded builds were first found without a registered endpoint.
 	goneSince map[endpoints.Build]time.Time
 	streams   streamWriter
+	rollback  rollback
 
 	reader       archiveReader
 	buildsReader buildsReader
@@ -109,7 +115,10 @@
 
 // NewArchive returns an archive; Run keeps it.
 func NewArchive(o ArchiveOptions) *Archive {
-	return &Archive{ArchiveOptions: o, metrics: newArchiveMetrics(o.Metrics), endpointsChanged: make(chan struct{}, 1), goneSince: make(map[endpoints.Build]time.Time), failing: make(map[string]bool)}
+	return &Archive{
+		ArchiveOptions: o, metrics: newArchiveMetrics(o.Metrics), endpointsChanged: make(chan struct{}, 1),
+		goneSince: make(map[endpoints.Build]time.Time), rollback: rollback{confirmedBy: make(map[string]uint64)}, failing: make(map[string]bool),
+	}
 }
 
 // EndpointsChanged tells the archive that the registered endpoints have changed.
@@ -125,7 +134,9 @@
 	for sleep.For(ctx, archiveInterval) {
 		a.readEndpoints()
 		a.learnBuilds(ctx)
-		a.keepBuilds(ctx)
+		if !a.keepComplete(ctx) {
+			a.keepBuilds(ctx)
+		}
 		a.keepStreams(ctx)
 		a.reader.forget(a.Now())
 	}
@@ -185,15 +196,19 @@
 	a.registered, a.withoutVersion = list, unknown
 }
 
-// wanted returns what the record of builds has to hold: the registered builds, and which
-// services have streams.
+// wanted returns what the record of builds has to hold: the registered builds, those known from before
+// a rollback of the store, and which services have streams.
 func (a *Archive) wanted() []ServiceBuilds {
 	a.mu.Lock()
-	list := slices.Clone(a.registered.Services)
+	known := a.registered
+	for _, s := range a.rollback.unrecorded.Services {
+		known = known.with(s)
+	}
+	list := slices.Clone(known.Services)
 	a.mu.Unlock()
 	streaming := a.StreamServices()
 	for i := range list {
-		list[i].Streams = slices.Contains(streaming, list[i].Service)
+		list[i].Streams = list[i].Streams || slices.Contains(streaming, list[i].Service)
 	}
 	return list
 }
@@ -203,7 +218,7 @@
 	wanted := a.wanted()
 	now := a.Now()
 	a.mu.Lock()
-	unrecorded := slices.ContainsFunc(wanted, func(s ServiceBuilds) bool { return !a.builds.contains(s) })
+	unrecorded := a.outdated() || slices.ContainsFunc(wanted, func(s ServiceBuilds) bool { return !a.builds.contains(s) })
 	switch {
 	case !unrecorded:
 		a.unrecordedSince = time.Time{}
@@ -330,6 +345,7 @@
 	a.mu.Lock()
 	newer := b.Version > a.builds.Version
 	if newer {
+		a.rollback.replaced(a.builds, b)
 		a.builds, a.changedAt = b, a.Now()
 	}
 	a.mu.Unlock()
@@ -338,25 +354,6 @@
 	}
 }
 
-// Announcement returns the record of builds for this instance's n-th message to the peers, or
-// nil for messages without it.
-func (a *Archive) Announcement(n uint64) *Builds {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.builds.Version == 0 || n%announceInterval != 1 && a.Now().Sub(a.changedAt) > announceTime {
-		return nil
-	}
-	b := a.builds
-	return &b
-}
-
-// Merge takes over what a peer has announced.
-func (a *Archive) Merge(b *Builds) {
-	if b != nil {
-		a.setBuilds(*b)
-	}
-}
-
 // logOutcome logs the first of several failures of an operation, and its recovery.
 func (a *Archive) logOutcome(failure string, err error) {
 	switch {
--- a/pkg/origin/archive_test.go
+++ b/pkg/origin/archive_test.go
@@ -76,9 +76,12 @@
 func (f *archives) newArchive(i, count int, firstStart bool) *Archive {
 	id := fmt.Sprint("gw-", i)
 	return NewArchive(ArchiveOptions{
-		Source: fmt.Sprintf("%s-%d", id, time.Now().UnixNano()), Self: id, Store: f.store, Endpoints: f.current,
+		Source: fmt.Sprintf("%s-%d", id, time.Now().UnixNano()), Self: id, Store: f.store, StoreHistory: f.store.History, Endpoints: f.current,
 		StreamServices: func() []string { return []string{"s1"} }, Confirm: func([]endpoints.Build) {},
 		IsWriter: func() bool { return i == 0 }, Writers: func(n int) []string { return firstIDs(min(n, count)) }, Members: func() int { return count }, Send: f.send,
+		Peers: func() ([]string, bool) {
+			return slices.DeleteFunc(firstIDs(count), func(peer string) bool { return peer == id }), true
+		},
 		FirstStart: firstStart, Metrics: prometheus.NewRegistry(), Log: slog.New(slog.NewTextHandler(&f.log, nil)), Now: time.Now, TrueTime: time.Now,
 	})
 }
@@ -148,7 +151,7 @@
 // exchange tells all archives the writer's record of builds.
 func (f *archives) exchange() {
 	for _, a := range f.list[1:] {
-		a.Merge(f.list[0].Announcement(1))
+		a.Merge("gw-0", f.list[0].Announcement(1))
 	}
 }
 
@@ -332,7 +335,7 @@
 		g.Expect(strings.Count(f.log.String(), `level=WARN msg="failed to record builds`)).To(Equal(100), "one line of each for an outage")
 		f.store.SetHook(f.recordWrite)
 		time.Sleep(4 * time.Second)
-		g.Expect(f.list[0].Announcement(1).all()).To(ContainElement(build("v1.1")))
+		g.Expect(f.list[0].Announcement(1).Record.all()).To(ContainElement(build("v1.1")))
 	})
 }
 
@@ -457,7 +460,7 @@
 		time.Sleep(time.Second)
 		f.start(2, false)
 		time.Sleep(2 * archiveInterval)
-		g.Expect(f.list[1].Announcement(1)).NotTo(BeNil())
+		g.Expect(f.list[1].Announcement(1).Record).NotTo(BeNil())
 		before := f.calls()
 		time.Sleep(10 * time.Second)
 		g.Expect(f.calls()-before).To(BeZero(), "read once")
