Store quarantined traits again after a rollback of the store

Cause: the keeper compares the traits of requests with what it has stored, and a rollback of the store can lose that. They were stored again only with the next change; if all instances ended before, the requests crashed as many endpoints again.

Change: the keeper reads and writes its object again if the store has been rolled back since. objectstore.MayBeLost decides, also for the archive.

Test: TestKeeper_StoresTraitsAgainAfterRollback, two of two cases fail without it.

--- a/cmd/medlarsill-gateway/duties.go
+++ b/cmd/medlarsill-gateway/duties.go
@@ -72,7 +72,7 @@
 // endpoints, for a start of all instances and for instances that don't reach each other.
 func (p *process) newQuarantineKeeper() *poison.Keeper {
 	return &poison.Keeper{
-		Guard: p.poison, Store: p.store, Log: p.log, FirstStart: p.cfg.FirstStart, TrueTime: p.clock.Now,
+		Guard: p.poison, Store: p.store, StoreHistory: p.storeClient.History, Log: p.log, FirstStart: p.cfg.FirstStart, TrueTime: p.clock.Now,
 		Writes:     func() bool { return p.node.WriterRank() == 0 },
 		Incomplete: func() bool { return p.node.ReachablePeers() < p.node.Members()-1 },
 	}
--- a/pkg/objectstore/objectstore.go
+++ b/pkg/objectstore/objectstore.go
@@ -58,6 +58,13 @@
 // Revision returns the revision of a version: the number of the write within its history.
 func Revision(version uint64) uint64 { return version & maxRevision }
 
+// MayBeLost reports whether the store has been rolled back since an object had a version, given the
+// number of its newest history, so that it may lack what was written. It returns false for version 0,
+// that of no object.
+func MayBeLost(version, newestHistory uint64) bool {
+	return version != 0 && History(version) < newestHistory
+}
+
 // Object is one stored value with the version of its last write.
 type Object struct {
 	Key string `json:"key"`
--- a/pkg/origin/archive_streams.go
+++ b/pkg/origin/archive_streams.go
@@ -230,7 +230,7 @@
 func (a *Archive) writeDue() bool {
 	a.mu.Lock()
 	now, s := a.Now(), &a.streams
-	waiting, failed, since := len(s.pending) > 0, s.failed || a.isLost(s.version), s.pendingSince
+	waiting, failed, since := len(s.pending) > 0, s.failed || a.mayBeLost(s.version), s.pendingSince
 	mayWrite := now.Sub(s.writtenAt) >= writeInterval
 	a.mu.Unlock()
 	if !mayWrite || !waiting && !failed {
@@ -247,7 +247,7 @@
 	defer cancel()
 	a.mu.Lock()
 	s := &a.streams
-	if a.isLost(s.version) {
+	if a.mayBeLost(s.version) {
 		s.object, s.version = s.object+1, 0
 	}
 	name, version := fmt.Sprintf("%s%s-%d", streamsPrefix, a.Source, s.object), s.version
--- a/pkg/origin/rollback.go
+++ b/pkg/origin/rollback.go
@@ -95,7 +95,7 @@
 // outdated reports whether the store has been rolled back since the known record was written. The
 // caller must hold mu.
 func (a *Archive) outdated() bool {
-	return a.builds.Version != 0 && (a.builds.rolledBack() || a.isLost(a.builds.Version))
+	return a.builds.Version != 0 && (a.builds.rolledBack() || a.mayBeLost(a.builds.Version))
 }
 
 // keepComplete says in the stored record that it is complete again after a rollback, once it holds all
@@ -158,8 +158,7 @@
 	return nil
 }
 
-// isLost reports whether the store has been rolled back since an object had a version, so that it may
-// lack what was written; false for version 0, that of no object.
-func (a *Archive) isLost(version uint64) bool {
-	return version != 0 && objectstore.History(version) < a.StoreHistory()
+// mayBeLost reports whether the store has been rolled back since an object had a version.
+func (a *Archive) mayBeLost(version uint64) bool {
+	return objectstore.MayBeLost(version, a.StoreHistory())
 }
--- a/pkg/poison/keeper.go
+++ b/pkg/poison/keeper.go
@@ -33,6 +33,8 @@
 type Keeper struct {
 	Guard *Guard
 	Store objectstore.Store
+	// StoreHistory returns the number of the store's newest known history. A rollback begins a new one.
+	StoreHistory func() uint64
 	// Writes reports whether this instance is the one that writes the object, among those that
 	// reach each other.
 	Writes func() bool
@@ -107,8 +109,14 @@
 	return true
 }
 
-// save stores the traits and the crashes if they have changed.
+// save stores the traits and the crashes if they have changed, or if the store may have lost them.
 func (k *Keeper) save(ctx context.Context) {
+	if objectstore.MayBeLost(k.stored.Version(), k.StoreHistory()) {
+		k.saved, k.savedCrashes = nil, nil
+		if !k.load(ctx) {
+			return
+		}
+	}
 	list, crashes := k.Guard.Entries(), k.Guard.suspectedCrashes(k.TrueTime())
 	if sameEntries(list, k.saved) && !k.crashesChanged(crashes) {
 		return
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -316,7 +316,7 @@
 		store := memstore.New()
 		run := func(guard *Guard, held bool) context.CancelFunc {
 			ctx, cancel := context.WithCancel(t.Context())
-			k := Keeper{Guard: guard, Store: store, Writes: func() bool { return held }, Incomplete: func() bool { return false }, Log: guard.Log, TrueTime: time.Now}
+			k := Keeper{Guard: guard, Store: store, StoreHistory: store.History, Writes: func() bool { return held }, Incomplete: func() bool { return false }, Log: guard.Log, TrueTime: time.Now}
 			go func() { _ = k.Run(ctx) }()
 			return cancel
 		}
--- a/pkg/poison/stored_test.go
+++ b/pkg/poison/stored_test.go
@@ -13,10 +13,10 @@
 )
 
 // runKeeper runs a keeper until the returned function is called, as the only instance does.
-func runKeeper(t *testing.T, guard *Guard, store objectstore.Store) (stop func()) {
+func runKeeper(t *testing.T, guard *Guard, store *memstore.Store) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	k := Keeper{Guard: guard, Store: store, Writes: func() bool { return true }, Incomplete: func() bool { return false }, Log: guard.Log, TrueTime: time.Now}
+	k := Keeper{Guard: guard, Store: store, StoreHistory: store.History, Writes: func() bool { return true }, Incomplete: func() bool { return false }, Log: guard.Log, TrueTime: time.Now}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -148,3 +148,34 @@
 		}
 	})
 }
+
+// Guards against quarantined traits that are forgotten when the store was rolled back to before they
+// were stored and all instances restart later: they were stored again only with the next change.
+func TestKeeper_StoresTraitsAgainAfterRollback(t *testing.T) {
+	for name, first := range map[string]bool{"the object is gone": true, "the object is older": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				store := memstore.New()
+				guard := newGuard(time.Now)
+				stop := runKeeper(t, guard, store)
+				if !first {
+					guard.Merge([]Entry{{Trait: 4, Epoch: 1, Probes: 1, ProbeInMS: 60_000}})
+					time.Sleep(2 * saveInterval)
+				}
+				before := store.Snapshot()
+				guard.Merge([]Entry{{Trait: 5, Epoch: 1, Probes: 1, ProbeInMS: 60_000}})
+				time.Sleep(2 * saveInterval)
+				store.RollBack(before)
+				time.Sleep(3 * saveInterval)
+				stop()
+
+				guard = newGuard(time.Now)
+				stop = runKeeper(t, guard, store)
+				time.Sleep(2 * saveInterval)
+				g.Expect(guard.Check(Request{Parts: []Trait{5}}).Refused).To(BeTrue())
+				stop()
+			})
+		})
+	}
+}
