Read what answers say of endpoints also if they come through a peer

Cause: only attempts read what an answer says of its endpoint. A peer didn't even say which endpoint had answered.

Change: Gateway.observe reads it for attempts, answers through peers and replies to orders. The peer names the endpoint's process in two header fields, which callers don't get.

--- a/pkg/endpoints/table.go
+++ b/pkg/endpoints/table.go
@@ -23,7 +23,8 @@
 	// removed, by id, so that an old copy of its registration doesn't add it again.
 	departed map[string]int64
 	// drained holds the registrations of the processes that have said that they are
-	// leaving. Their next registrations may not say so.
+	// leaving, with the key alone if they weren't registered then. Their next registrations may not
+	// say so.
 	drained map[Key]Info
 	// confirmed holds the builds that are recorded where streams begin; nil if that isn't known.
 	confirmed map[Build]bool
@@ -162,7 +163,7 @@
 	if born, left := t.departed[i.ID]; left && born == i.Born {
 		return
 	}
-	if said, ok := t.drained[i.key()]; ok && said.sameProcess(i) {
+	if said, ok := t.drained[i.key()]; ok && (said.Addr == "" || said.sameProcess(i)) {
 		i.Leaving = true
 	}
 	delete(t.expiry, i.ID)
@@ -195,6 +196,24 @@
 	return !i.Leaving
 }
 
+// MarkKeyLeaving marks the endpoint of a process as MarkLeaving does, also if the process is registered
+// later. One whose start is unknown can be told from others only while it is registered.
+func (t *Table) MarkKeyLeaving(k Key) {
+	if e, ok := t.ByKey(k); ok {
+		t.MarkLeaving(e)
+		return
+	}
+	if k.Born != 0 {
+		t.recordDrained(Info{ID: k.ID, Born: k.Born})
+	}
+}
+
+// ByKey returns the endpoint of a process, if it is registered.
+func (t *Table) ByKey(k Key) (*Endpoint, bool) {
+	e, ok := t.ByID(k.ID)
+	return e, ok && e.Key() == k
+}
+
 // recordDrained records that a process has said that it is leaving. It reports whether
 // that wasn't recorded before.
 func (t *Table) recordDrained(i Info) bool {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -162,7 +162,7 @@
 	}
 	g.Reach.Reached(a.service)
 	meta := g.Protocol.Response(resp)
-	a.recordNotices(meta)
+	g.observe(a.placement.Endpoint, a.lastSent, meta)
 	// An endpoint that doesn't know a handle, or has seen it before, says so by the status alone.
 	if meta.NotRun || a.from != nil && resp.StatusCode == http.StatusServiceUnavailable {
 		return a.handleRefusal(resp, meta)
@@ -195,28 +195,6 @@
 	a.gateway.Backoffs.Sent(k, !a.firstSend())
 }
 
-// recordNotices records what a response says of its endpoint's state.
-func (a *attempt) recordNotices(meta ResponseMeta) {
-	if meta.WrongTarget {
-		return
-	}
-	g := a.gateway
-	e := a.placement.Endpoint
-	if meta.Leaving && g.Endpoints.MarkLeaving(e) {
-		g.Log.Info("endpoint leaving", "endpoint", e.ID, "service", e.Service, "source", "answer")
-	}
-	k := e.Key()
-	// An answer without the endpoint's proof may lack what the endpoint announces.
-	proved := meta.Stamped || meta.NotRun
-	if proved || meta.RateLimit.Limited || meta.RateLimit.Err != nil {
-		g.RateLimits.Observe(k, a.lastSent, meta.RateLimit)
-	}
-	if proved || meta.Overload.Sensitive || meta.Overload.Err != nil {
-		g.Overload.Observe(e, a.lastSent, meta.Overload)
-	}
-	g.Backoffs.Observe(k, meta.Backoff)
-}
-
 // belongsToRequest reports whether a response belongs to the request. Error responses may lack
 // the id, but only on a connection that has carried no other request: a faulty endpoint may
 // write the response to an earlier one again.
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
 	"github.com/medlarsill/medlarsill/pkg/upstream"
 )
 
@@ -168,6 +169,7 @@
 		f.complete = err == nil
 		return outcome{state: stateUnsent, reason: "not taken by peer: " + reason}, forwardNotTaken
 	}
+	f.observeForwarded(resp)
 	last := f.relay(resp)
 	if !last.done {
 		return last, forwardUnknown
@@ -260,7 +262,7 @@
 
 // writeEvents writes complete events to the caller and flushes them.
 func (f *forwardAttempt) writeEvents(resp *http.Response, events []byte) {
-	f.startStream(resp)
+	f.startStream(resp, endpoints.Key{}) // this instance forwards none for a peer
 	if _, last, _ := eventIDs(events); last != "" {
 		f.lastEvent = last
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -99,6 +99,10 @@
 	// MarkLeaving marks an endpoint as accepting no new requests, for good. It reports
 	// whether that is news.
 	MarkLeaving(e *endpoints.Endpoint) bool
+	// MarkKeyLeaving does the same for a process that may be registered later.
+	MarkKeyLeaving(k endpoints.Key)
+	// ByKey returns the endpoint of a process, if it is registered.
+	ByKey(k endpoints.Key) (*endpoints.Endpoint, bool)
 	// Service returns the endpoints of a service that accept new requests.
 	Service(name string) []*endpoints.Endpoint
 	// Replaced reports whether an endpoint's id is registered for another build than its own.
--- a/pkg/gateway/moveorder.go
+++ b/pkg/gateway/moveorder.go
@@ -72,11 +72,13 @@
 		return err
 	}
 	defer conn.Close()
+	sentAt := g.Now()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	resp, err := conn.Do(req, func(*http.Response) bool { return true })
 	if err != nil {
 		return err
 	}
+	g.observe(e, sentAt, g.Protocol.Response(resp))
 	read(resp)
 	return nil
 }
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
 )
 
 // maxBufferedBytes limits how much of a response that is not a stream is buffered
@@ -30,7 +32,7 @@
 	if err != nil {
 		return a.handleTruncated(ctx, err)
 	}
-	response := &bufferedResponse{status: resp.StatusCode, header: g.Protocol.ResponseHeader(resp.Header), body: head, endpoint: a.placement.Endpoint.ID}
+	response := &bufferedResponse{status: resp.StatusCode, header: g.Protocol.ResponseHeader(resp.Header), body: head, endpoint: a.placement.Endpoint.ID, key: a.placement.Endpoint.Key()}
 	if !whole {
 		if a.mayBeEndless(resp) {
 			a.placement.Endpoint.RecordFailure()
@@ -79,10 +81,13 @@
 
 // bufferedResponse is a response that was read from an endpoint.
 type bufferedResponse struct {
-	status   int
-	header   http.Header
-	body     []byte
+	status int
+	header http.Header
+	body   []byte
+	// endpoint names, in log lines, what has answered. key is that of the endpoint; zero if a peer has
+	// answered.
 	endpoint string
+	key      endpoints.Key
 	// rest is the unread part of a large body; nil if there is none.
 	rest io.Reader
 }
@@ -91,6 +96,7 @@
 func (c *call) deliver(p *bufferedResponse) {
 	c.takeOver()
 	copyHeader(c.w.Header(), p.header)
+	c.nameEndpoint(p.key)
 	c.w.WriteHeader(p.status)
 	c.headerSent = true
 	if _, err := c.w.Write(p.body); err != nil {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/medlarsill/medlarsill/pkg/endpoints"
 )
 
 // stallTimeoutFactor is the number of times the route's GapTarget after which a stream
@@ -54,7 +56,7 @@
 		return false
 	}
 	a.takeOver()
-	a.startStream(resp)
+	a.startStream(resp, a.placement.Endpoint.Key())
 	a.markRunning()
 	a.recordAttached()
 	a.recordEvent()
@@ -69,14 +71,15 @@
 	return true
 }
 
-// startStream writes the header of the response to the caller, unless that was done.
-func (c *call) startStream(resp *http.Response) {
+// startStream writes the header of an endpoint's response to the caller, unless that was done.
+func (c *call) startStream(resp *http.Response, k endpoints.Key) {
 	if c.headerSent {
 		return
 	}
 	h := c.w.Header()
 	copyHeader(h, c.gateway.Protocol.ResponseHeader(resp.Header))
 	h.Del("Content-Length")
+	c.nameEndpoint(k)
 	c.w.WriteHeader(resp.StatusCode)
 	c.headerSent = true
 	c.gateway.Metrics.FirstEvent.Observe(c.gateway.Now().Sub(c.arrived).Seconds())
