--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 STEPS ?= 100
 
-.PHONY: build test fmt vet lint unit demo up faults measure soak soak-gateway soak-upgrade bench
+.PHONY: build test fmt vet lint unit demo up faults measure soak soak-gateway soak-drawn soak-upgrade bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -49,6 +49,14 @@
 soak-gateway:
 	for seed in $(SEEDS); do SEED=$$seed SOAK_S=$(SOAK_S) $(GO) test -count=1 -v -run TestSoak ./cmd/medlarsill-gateway || exit 1; done
 
+# Plays seeds of the soak that draws its disruptions, some side by side: make soak-drawn SEEDS="1 2 3" JOBS=3
+JOBS ?= 1
+soak-drawn:
+	mkdir -p out/soak
+	$(GO) build -o out/soak/medlarsill-gateway ./cmd/medlarsill-gateway
+	$(GO) test -c -o out/soak/drawn.test ./cmd/medlarsill-gateway
+	SOAK_PROGRAM=$(CURDIR)/out/soak/medlarsill-gateway scripts/soak-drawn.sh out/soak/drawn.test $(JOBS) $(SEEDS)
+
 # Upgrades real gateway processes from the build of an older commit, both side by side, under
 # faults: make soak-upgrade BEFORE=COMMIT SEEDS="1 2 3" SOAK_S=60
 BEFORE ?= HEAD~1
--- a/cmd/medlarsill-gateway/soak_process_test.go
+++ b/cmd/medlarsill-gateway/soak_process_test.go
@@ -35,6 +35,8 @@
 	file     string
 	view     *httptest.Server
 
+	// storeRefuses is the status with which the store refuses the gateway's calls; 0 for none.
+	storeRefuses atomic.Int32
 	// up is true from the first readiness of a process until its end.
 	up atomic.Bool
 
@@ -61,17 +63,24 @@
 		ID: fmt.Sprintf("gw-%d", n), DataCentre: fmt.Sprint("dc-", n%2), GossipByDataCentre: true, Listen: ip + ":8221", ReadyListen: ip + ":8224", MetricsListen: ip + ":8229", IP: ip, PeerPort: 7600,
 		ObjectAPI: strings.TrimPrefix(gw.view.URL, "http://"), CloudAPI: s.cloud.Addr(), Duties: []string{"usage", "autoscale"}, MemoryMB: 256, StopGraceS: 8, LeaseMS: 900,
 		RetryShare: 0.2, RetryExtra: 50, AllowanceOver: 0.1, AllowanceSlack: 10000, UsageWindowS: 1, EndpointSpeeds: true, KVFetch: true, SplitPrompts: true, FairWorkspaces: true,
-		RolloutShare: 0.1, RolloutSlack: 50, RolloutRollbackMS: 5000, Log: settings.Log{Format: "json", Level: "info"},
+		RolloutShare: 0.1, RolloutSlack: 50, RolloutRollbackMS: 5000, FirstStart: s.firstStart, Log: settings.Log{Format: "json", Level: "info"},
 	}
 	return gw
 }
 
 // serveView answers a gateway's call to the store, with the addresses of its own links.
 func (s *soak) serveView(n int, w http.ResponseWriter, r *http.Request) {
+	if status := s.storeRefusal(n); status != 0 {
+		w.WriteHeader(status)
+		return
+	}
 	rec := httptest.NewRecorder()
 	s.store.ServeHTTP(rec, r)
 	body := rec.Body.String()
-	for _, e := range s.endpoints {
+	s.mu.Lock()
+	list := slices.Clone(s.endpoints)
+	s.mu.Unlock()
+	for _, e := range list {
 		body = strings.ReplaceAll(body, strconv.Quote(e.links[0].Addr().String()), strconv.Quote(e.links[n].Addr().String()))
 	}
 	for name, values := range rec.Header() {
@@ -82,6 +91,16 @@
 	_, _ = io.WriteString(w, body)
 }
 
+// storeRefusal returns the status with which the store refuses a gateway's calls; 0 for none.
+func (s *soak) storeRefusal(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n >= len(s.gateways) {
+		return 0
+	}
+	return int(s.gateways[n].storeRefuses.Load())
+}
+
 // start starts a gateway's process.
 func (s *soak) start(gw *soakGateway) {
 	s.g.Expect(os.WriteFile(gw.file, s.settingsFor(gw), 0o600)).To(Succeed())
@@ -94,6 +113,7 @@
 	gw.mu.Lock()
 	gw.cmd, gw.ended, gw.stopped = cmd, ended, false
 	gw.mu.Unlock()
+	gw.settings.FirstStart = false // of the next process
 	go func() {
 		err := cmd.Wait()
 		log.Close()
--- a/cmd/medlarsill-gateway/soak_test.go
+++ b/cmd/medlarsill-gateway/soak_test.go
@@ -36,15 +36,21 @@
 // soak is a deployment of real gateway processes before endpoints that can be silent or cut off
 // from one gateway, with clients that keep their connections.
 type soak struct {
-	g         *WithT
-	dir       string
-	network   string
-	random    *rand.Rand
-	store     *platformtest.Store
-	cloud     *platformtest.Cloud
+	g       *WithT
+	dir     string
+	network string
+	random  *rand.Rand
+	store   *platformtest.Store
+	cloud   *platformtest.Cloud
+	// handler returns the handler of an endpoint for the link of a gateway; nil stands for a Runner.
+	handler   func(e *soakEndpoint, gateway int) http.Handler
 	endpoints []*soakEndpoint
 	gateways  []*soakGateway
 	version   int
+	// firstStart is true if the gateways' first processes are those of the first start of the whole system,
+	// and readyAt is when these were ready.
+	firstStart bool
+	readyAt    time.Time
 
 	mu sync.Mutex
 	// runs counts by request how often endpoints began to run it.
@@ -80,6 +86,19 @@
 
 // newSoak starts a number of gateways from a program; "" stands for this commit's.
 func newSoak(t *testing.T, seed uint64, gateways int, program string) *soak {
+	t.Helper()
+	s := newSoakWorld(t, seed)
+	for n := range soakEndpoints {
+		s.endpoints = append(s.endpoints, s.newEndpoint(t, fmt.Sprintf("i-%d", n), "v1", gateways, nil))
+		s.register(s.endpoints[n])
+	}
+	s.configure(10)
+	s.startGateways(t, gateways, program)
+	return s
+}
+
+// newSoakWorld returns a store and a cloud API without endpoints and gateways.
+func newSoakWorld(t *testing.T, seed uint64) *soak {
 	t.Helper()
 	s := &soak{
 		g: NewWithT(t), dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 46)), store: platformtest.NewStore(), cloud: platformtest.NewCloud(), runs: make(map[string]int),
@@ -88,18 +107,22 @@
 	}
 	t.Cleanup(s.store.Close)
 	t.Cleanup(s.cloud.Close)
+	return s
+}
+
+// startGateways starts a number of gateways from a program; "" stands for this commit's. It returns once
+// they are ready.
+func (s *soak) startGateways(t *testing.T, count int, program string) {
+	t.Helper()
 	if program == "" {
 		program = s.build()
 	}
-	for n := range soakEndpoints {
-		s.endpoints = append(s.endpoints, s.newEndpoint(t, fmt.Sprintf("i-%d", n), "v1", gateways, nil))
-		s.register(s.endpoints[n])
-	}
-	s.configure(10)
-	for n := range gateways {
+	for n := range count {
 		gw := s.newGateway(t, n)
 		gw.program = program
+		s.mu.Lock()
 		s.gateways = append(s.gateways, gw)
+		s.mu.Unlock()
 		s.start(gw)
 	}
 	t.Cleanup(func() {
@@ -111,7 +134,7 @@
 		gw.awaitReady()
 		s.g.Expect(gw.up.Load()).To(BeTrue(), "%s is not ready", gw.settings.ID)
 	}
-	return s
+	s.readyAt = time.Now()
 }
 
 // build builds this commit's program and returns its file.
@@ -135,11 +158,14 @@
 		e.runs.Add(1)
 		s.began(id)
 	}
-	for range gateways {
+	for gateway := range gateways {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		s.g.Expect(err).NotTo(HaveOccurred())
 		link := &soakLink{recordingListener: &recordingListener{TCPListener: l.(*net.TCPListener), conns: make(map[*net.TCPConn]bool)}}
 		link.server = &http.Server{Handler: platformtest.Runner{ID: id, Began: began, Fails: fails}}
+		if s.handler != nil {
+			link.server.Handler = s.handler(e, gateway)
+		}
 		go func() { _ = link.server.Serve(link.recordingListener) }()
 		t.Cleanup(func() { link.server.Close() })
 		e.links = append(e.links, link)
@@ -156,6 +182,8 @@
 
 // configure writes the next version of the configuration, with a number of further routes.
 func (s *soak) configure(routes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.version++
 	s.store.Put("config", "main", platformtest.ConfigOfAllKinds(s.version, routes, soakDeadline))
 }
