--- a/cmd/medlarsill-gateway/drawn_inject_test.go
+++ b/cmd/medlarsill-gateway/drawn_inject_test.go
@@ -27,7 +27,7 @@
 	snapshotInterval = 200 * time.Millisecond
 	// lingering is the least time for which an endpoint that leaves serves beyond drainTime.
 	lingering = 80 * time.Millisecond
-	// downTime is the longest time until killed processes start again.
+	// maxDownTime is the longest time until killed processes start again.
 	maxDownTime = time.Second
 )
 
--- a/pkg/origin/rollback_test.go
+++ b/pkg/origin/rollback_test.go
@@ -15,7 +15,8 @@
 const (
 	// copyAge is the age of the copy that the store comes back from.
 	copyAge = 3 * time.Second
-	// completeTime is the time after a rollback in which the record must be complete again.
+	// completeTime is the time after a rollback in which the record must be complete again: instances are in
+	// touch by then.
 	completeTime = 3 * time.Second
 )
 
